Serve a query end to end through two processes

Cause: there was nothing yet; everything else is to be built on one real path.

Change: a workspace of small crates. Requests that may run at most once have an id that one incarnation of one process issued and alone may send. Decisions live in crates without sockets or clocks; the daemon's tasks drive them. HTTP listeners use hyper: rouille sets no read timeout, starts threads without bound, and its accept loop ends for good at the first failed accept.

--- /dev/null
+++ b/crates/lentillift-backend/src/lib.rs
@@ -0,0 +1,6 @@
+//! The HTTP interface to backend servers.
+
+#![forbid(unsafe_code)]
+
+pub mod client;
+pub mod reply;
--- /dev/null
+++ b/crates/lentillift-caller/src/lib.rs
@@ -0,0 +1,8 @@
+//! The HTTP interface to callers.
+
+#![forbid(unsafe_code)]
+
+pub mod call;
+pub mod parse;
+pub mod render;
+pub mod server;
--- /dev/null
+++ b/crates/lentillift-caller/src/render.rs
@@ -0,0 +1,128 @@
+//! Answers and refusals as callers get them.
+
+use crate::call::Settled;
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::RETRY_AFTER;
+use lentillift_core::coverage::Coverage;
+use lentillift_core::id;
+use lentillift_core::outcome::Outcome;
+use lentillift_core::refusal::Cause;
+use lentillift_core::refusal::Refusal;
+use lentillift_entry::answer::Answer;
+use lentillift_http::listener::json;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+/// Header with the share of the data that an answer covers.
+pub const COVERAGE: &str = "x-coverage";
+
+/// Header that says whether a request ran.
+pub const OUTCOME: &str = "x-outcome";
+
+#[derive(Serialize)]
+struct Body<'a> {
+    snapshot: id::Snapshot,
+    share: f64,
+    coverage: &'a Coverage,
+    hits: Vec<&'a RawValue>,
+}
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    outcome: Outcome,
+    cause: Cause,
+    detail: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// An answer to a query.
+pub fn answer(answer: &Answer) -> Response<Bytes> {
+    let share = answer.coverage.share();
+    let hits = answer.hits.iter();
+    let body = Body {
+        snapshot: answer.snapshot,
+        share,
+        coverage: &answer.coverage,
+        hits: hits
+            .filter_map(|hit| serde_json::from_str(&hit.json).ok())
+            .collect(),
+    };
+    let body = serde_json::to_vec(&body).unwrap_or_default();
+    let mut response = json(StatusCode::OK, body);
+    insert(&mut response, COVERAGE, &format!("{share:.6}"));
+    insert(&mut response, "x-snapshot", &answer.snapshot.to_string());
+    insert(&mut response, OUTCOME, "done");
+    response
+}
+
+/// A refusal.
+pub fn refusal(refusal: &Refusal) -> Response<Bytes> {
+    // A query that was refused for its coverage did run on some backend servers.
+    let outcome = match refusal.cause {
+        Cause::Coverage => Outcome::Done,
+        _ => Outcome::NotRun,
+    };
+    let problem = Problem {
+        outcome,
+        cause: refusal.cause,
+        detail: &refusal.detail,
+        retry_after_ms: refusal.retry_after.map(|after| after.as_millis() as u64),
+    };
+    let body = serde_json::to_vec(&problem).unwrap_or_default();
+    let mut response = json(status(refusal.cause), body);
+    insert(&mut response, OUTCOME, name(outcome));
+    if let Some(after) = refusal.retry_after {
+        let seconds = after.as_secs_f64().ceil().max(1.0);
+        insert(&mut response, RETRY_AFTER.as_str(), &seconds.to_string());
+    }
+    response
+}
+
+/// An id for a request that may run at most once.
+pub fn issued(key: &str) -> Response<Bytes> {
+    let body = serde_json::json!({ "id": key }).to_string();
+    json(StatusCode::OK, body.into_bytes())
+}
+
+/// The outcome of a request that may run at most once.
+pub fn settled(settled: Settled) -> Response<Bytes> {
+    let status = match settled.outcome {
+        Outcome::Done => StatusCode::OK,
+        Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let mut response = json(status, settled.body);
+    insert(&mut response, OUTCOME, name(settled.outcome));
+    response
+}
+
+fn status(cause: Cause) -> StatusCode {
+    match cause {
+        Cause::UnknownService => StatusCode::NOT_FOUND,
+        Cause::UnknownCaller => StatusCode::FORBIDDEN,
+        Cause::Malformed | Cause::Allowance => StatusCode::BAD_REQUEST,
+        Cause::Overload => StatusCode::TOO_MANY_REQUESTS,
+        Cause::Stale | Cause::Leaving | Cause::NoSnapshot | Cause::Coverage => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    }
+}
+
+fn name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::NotRun => "not-run",
+        Outcome::Unknown => "unknown",
+    }
+}
+
+fn insert(response: &mut Response<Bytes>, name: &str, value: &str) {
+    let name = http::HeaderName::try_from(name);
+    if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+        response.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/lentillift-core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Shared vocabulary of every lentillift crate.
+//!
+//! Nothing here opens a socket, reads a clock or draws a random number.
+
+#![forbid(unsafe_code)]
+
+pub mod coverage;
+pub mod error;
+pub mod hit;
+pub mod id;
+pub mod outcome;
+pub mod refusal;
+pub mod snapshot;
+pub mod sub;
+pub mod time;
--- /dev/null
+++ b/crates/lentillift-entry/src/query.rs
@@ -0,0 +1,95 @@
+//! One query's shards, replies and deadline.
+
+use crate::answer::Answer;
+use crate::answer::Ask;
+use lentillift_core::coverage::Coverage;
+use lentillift_core::coverage::Missing;
+use lentillift_core::coverage::Reason;
+use lentillift_core::hit;
+use lentillift_core::hit::Hit;
+use lentillift_core::id;
+use lentillift_core::snapshot::Map;
+use lentillift_core::time::Time;
+
+/// Where a query stands with one of its shards.
+#[derive(Debug)]
+pub enum State {
+    /// A sub-request is under way.
+    Pending {
+        /// Replicas that were tried, the one under way last.
+        tried: Vec<id::Backend>,
+    },
+    /// The shard's reply is at hand.
+    Answered(Vec<Hit>),
+    /// The shard is given up.
+    Missing(Reason),
+}
+
+/// A query under way.
+#[derive(Debug)]
+pub struct Query {
+    /// What the caller asked.
+    pub ask: Ask,
+    /// The map of the snapshot that the query keeps to.
+    pub map: Map,
+    /// Where it stands with each part of `map`, by position.
+    // INVARIANT: As long as `map.parts`.
+    pub states: Vec<State>,
+    /// When the answer is put together, complete or not.
+    pub deadline: Time,
+}
+
+impl Query {
+    /// Starts a query of which no shard has been asked.
+    pub fn new(ask: Ask, map: Map, deadline: Time) -> Self {
+        let states = map.parts.iter().map(|_| State::Missing(Reason::NoReplica));
+        Self {
+            ask,
+            states: states.collect(),
+            map,
+            deadline,
+        }
+    }
+
+    /// Whether no shard's reply is awaited.
+    pub fn is_settled(&self) -> bool {
+        !self
+            .states
+            .iter()
+            .any(|state| matches!(state, State::Pending { .. }))
+    }
+
+    /// Puts the answer together; a shard that is still awaited has missed the deadline.
+    pub fn finish(self) -> Answer {
+        let mut coverage = Coverage {
+            shards: self.map.parts.len() as u32,
+            answered: 0,
+            weight: self.map.weight(),
+            covered: 0,
+            missing: Vec::new(),
+        };
+        let mut lists = Vec::with_capacity(self.states.len());
+        for (part, state) in self.map.parts.iter().zip(self.states) {
+            let reason = match state {
+                State::Answered(hits) => {
+                    coverage.answered += 1;
+                    coverage.covered += part.weight;
+                    lists.push(hits);
+                    continue;
+                }
+                State::Pending { .. } => Reason::Deadline,
+                State::Missing(reason) => reason,
+            };
+            coverage.missing.push(Missing {
+                shard: part.shard,
+                weight: part.weight,
+                reason,
+            });
+        }
+        Answer {
+            snapshot: self.map.snapshot,
+            coverage,
+            hits: hit::merge(lists, self.ask.limit),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentillift-node/src/lib.rs
@@ -0,0 +1,11 @@
+//! The protocol between the system's own processes: `h2` streams of `bincode` frames over TCP.
+//!
+//! Two processes share one connection as a rule; whichever dials first, both send over it.
+
+#![forbid(unsafe_code)]
+
+pub mod frame;
+pub mod hub;
+pub mod link;
+pub mod message;
+pub mod wire;
--- /dev/null
+++ b/crates/lentillift-node/src/wire.rs
@@ -0,0 +1,324 @@
+//! Messages as they stand on the wire.
+//!
+//! These types are apart from those the program works with, so that neither binds the other.
+
+use crate::message;
+use bincode::Decode;
+use bincode::Encode;
+use lentillift_core::hit;
+use lentillift_core::outcome;
+use lentillift_core::sub;
+use std::time::Duration;
+
+/// See [`message::Message`].
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub enum Message {
+    /// See [`message::Message::Sub`].
+    Sub(Sub),
+    /// See [`message::Message::Cancel`].
+    Cancel(u64),
+    /// See [`message::Message::Result`].
+    Result(Desk, u64, Answer),
+    /// See [`message::Message::Submit`].
+    Submit(Submit),
+    /// See [`message::Message::Settled`].
+    Settled(u64, Outcome, Vec<u8>),
+}
+
+/// See [`sub::Sub`].
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Sub {
+    id: u64,
+    service: String,
+    backend: String,
+    caller: String,
+    work: Work,
+    allowance_us: u64,
+    body: Vec<u8>,
+}
+
+/// See [`sub::Desk`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum Desk {
+    /// See [`sub::Desk::Query`].
+    Query,
+    /// See [`sub::Desk::Once`].
+    Once,
+}
+
+/// See [`sub::Work`].
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub enum Work {
+    /// See [`sub::Work::Search`].
+    Search(u64, u32),
+    /// See [`sub::Work::Action`].
+    Action(String),
+}
+
+/// See [`sub::Result`].
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub enum Answer {
+    /// See [`sub::Result::Hits`].
+    Hits(Vec<Hit>),
+    /// See [`sub::Result::Reply`].
+    Reply(Vec<u8>),
+    /// See [`sub::Result::Failed`].
+    Failed(Failure, Outcome),
+}
+
+/// See [`hit::Hit`].
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Hit {
+    id: String,
+    score: f64,
+    json: String,
+}
+
+/// See [`sub::Failure`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum Failure {
+    /// See [`sub::Failure::Refused`].
+    Refused,
+    /// See [`sub::Failure::Cold`].
+    Cold,
+    /// See [`sub::Failure::SnapshotGone`].
+    SnapshotGone,
+    /// See [`sub::Failure::NotOwner`].
+    NotOwner,
+    /// See [`sub::Failure::Out`].
+    Out,
+    /// See [`sub::Failure::Shed`].
+    Shed,
+    /// See [`sub::Failure::Connection`].
+    Connection,
+    /// See [`sub::Failure::Timeout`].
+    Timeout,
+    /// See [`sub::Failure::Malformed`].
+    Malformed,
+}
+
+/// See [`outcome::Outcome`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum Outcome {
+    /// See [`outcome::Outcome::Done`].
+    Done,
+    /// See [`outcome::Outcome::NotRun`].
+    NotRun,
+    /// See [`outcome::Outcome::Unknown`].
+    Unknown,
+}
+
+/// See [`message::Submit`].
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Submit {
+    request: u64,
+    key: String,
+    service: String,
+    caller: String,
+    allowance_us: u64,
+    body: Vec<u8>,
+}
+
+impl From<message::Message> for Message {
+    fn from(message: message::Message) -> Self {
+        match message {
+            message::Message::Sub(sub) => Self::Sub(sub.into()),
+            message::Message::Cancel(id) => Self::Cancel(id),
+            message::Message::Result { desk, id, result } => {
+                Self::Result(desk.into(), id, result.into())
+            }
+            message::Message::Submit(submit) => Self::Submit(submit.into()),
+            message::Message::Settled {
+                request,
+                outcome,
+                body,
+            } => Self::Settled(request, outcome.into(), body),
+        }
+    }
+}
+
+impl TryFrom<Message> for message::Message {
+    type Error = String;
+
+    fn try_from(message: Message) -> Result<Self, Self::Error> {
+        Ok(match message {
+            Message::Sub(sub) => Self::Sub(sub.into()),
+            Message::Cancel(id) => Self::Cancel(id),
+            Message::Result(desk, id, result) => Self::Result {
+                desk: desk.into(),
+                id,
+                result: result.try_into()?,
+            },
+            Message::Submit(submit) => Self::Submit(submit.into()),
+            Message::Settled(request, outcome, body) => Self::Settled {
+                request,
+                outcome: outcome.into(),
+                body,
+            },
+        })
+    }
+}
+
+impl From<sub::Sub> for Sub {
+    fn from(sub: sub::Sub) -> Self {
+        Self {
+            id: sub.id,
+            service: sub.service.to_string(),
+            backend: sub.backend.to_string(),
+            caller: sub.caller.to_string(),
+            work: sub.work.into(),
+            allowance_us: sub.allowance.as_micros() as u64,
+            body: sub.body.to_vec(),
+        }
+    }
+}
+
+impl From<Sub> for sub::Sub {
+    fn from(sub: Sub) -> Self {
+        Self {
+            id: sub.id,
+            service: sub.service.into(),
+            backend: sub.backend.into(),
+            caller: sub.caller.into(),
+            work: sub.work.into(),
+            allowance: Duration::from_micros(sub.allowance_us),
+            body: sub.body.into(),
+        }
+    }
+}
+
+impl From<sub::Work> for Work {
+    fn from(work: sub::Work) -> Self {
+        match work {
+            sub::Work::Search { snapshot, shard } => Self::Search(snapshot, shard),
+            sub::Work::Action { key } => Self::Action(key.to_string()),
+        }
+    }
+}
+
+impl From<Work> for sub::Work {
+    fn from(work: Work) -> Self {
+        match work {
+            Work::Search(snapshot, shard) => Self::Search { snapshot, shard },
+            Work::Action(key) => Self::Action { key: key.into() },
+        }
+    }
+}
+
+impl From<sub::Result> for Answer {
+    fn from(result: sub::Result) -> Self {
+        match result {
+            sub::Result::Hits(hits) => Self::Hits(hits.into_iter().map(Hit::from).collect()),
+            sub::Result::Reply(body) => Self::Reply(body),
+            sub::Result::Failed { failure, outcome } => {
+                Self::Failed(failure.into(), outcome.into())
+            }
+        }
+    }
+}
+
+impl TryFrom<Answer> for sub::Result {
+    type Error = String;
+
+    fn try_from(answer: Answer) -> Result<Self, Self::Error> {
+        Ok(match answer {
+            Answer::Hits(hits) => {
+                let hits = hits.into_iter().map(hit::Hit::try_from);
+                Self::Hits(hits.collect::<Result<_, _>>()?)
+            }
+            Answer::Reply(body) => Self::Reply(body),
+            Answer::Failed(failure, outcome) => Self::Failed {
+                failure: failure.into(),
+                outcome: outcome.into(),
+            },
+        })
+    }
+}
+
+impl From<hit::Hit> for Hit {
+    fn from(hit: hit::Hit) -> Self {
+        Self {
+            id: hit.id,
+            score: hit.score,
+            json: hit.json,
+        }
+    }
+}
+
+impl TryFrom<Hit> for hit::Hit {
+    type Error = String;
+
+    fn try_from(hit: Hit) -> Result<Self, Self::Error> {
+        if hit.score.is_nan() {
+            return Err(format!("hit `{}`: score is not a number", hit.id));
+        }
+        Ok(Self {
+            id: hit.id,
+            score: hit.score,
+            json: hit.json,
+        })
+    }
+}
+
+impl From<message::Submit> for Submit {
+    fn from(submit: message::Submit) -> Self {
+        Self {
+            request: submit.request,
+            key: submit.key,
+            service: submit.service.to_string(),
+            caller: submit.caller.to_string(),
+            allowance_us: submit.allowance.as_micros() as u64,
+            body: submit.body,
+        }
+    }
+}
+
+impl From<Submit> for message::Submit {
+    fn from(submit: Submit) -> Self {
+        Self {
+            request: submit.request,
+            key: submit.key,
+            service: submit.service.into(),
+            caller: submit.caller.into(),
+            allowance: Duration::from_micros(submit.allowance_us),
+            body: submit.body,
+        }
+    }
+}
+
+/// Writes the conversions, both ways, between two enums with the same unit variants.
+macro_rules! mirror {
+    ($domain:ty, $wire:ty, $($variant:ident),+) => {
+        impl From<$domain> for $wire {
+            fn from(value: $domain) -> Self {
+                match value {
+                    $(<$domain>::$variant => Self::$variant,)+
+                }
+            }
+        }
+
+        impl From<$wire> for $domain {
+            fn from(value: $wire) -> Self {
+                match value {
+                    $(<$wire>::$variant => Self::$variant,)+
+                }
+            }
+        }
+    };
+}
+
+mirror!(sub::Desk, Desk, Query, Once);
+mirror!(outcome::Outcome, Outcome, Done, NotRun, Unknown);
+mirror!(
+    sub::Failure,
+    Failure,
+    Refused,
+    Cold,
+    SnapshotGone,
+    NotOwner,
+    Out,
+    Shed,
+    Connection,
+    Timeout,
+    Malformed
+);
--- /dev/null
+++ b/crates/lentillift-settings/src/config.rs
@@ -0,0 +1,126 @@
+//! The published configuration that all processes share.
+
+use lentillift_core::id;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Whether a service's requests may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Searches: idempotent, sent to every shard.
+    Search,
+    /// Actions: each runs at most once, on one backend server.
+    Action,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Whether its requests may be repeated.
+    pub kind: Kind,
+    /// The priority class of its requests.
+    pub class: id::Class,
+    /// Requests that one of its backend servers runs at a time.
+    pub slots: u32,
+    /// Connections that one of its backend servers accepts.
+    pub connections: u32,
+    /// Requests that one of its backend servers bears at a time in a cold start.
+    pub cold_slots: u32,
+    /// Time to open a connection to one of its backend servers, in milliseconds.
+    pub connect_ms: u64,
+}
+
+/// A priority class.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Rank of the class; 0 is served first and refused last.
+    pub rank: u8,
+    /// Longest time a request of the class may wait in a queue, in milliseconds.
+    pub queue_ms: u64,
+}
+
+/// A caller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Caller {
+    /// Share of the capacity that the caller gets beside others, when all want more.
+    pub weight: u32,
+}
+
+/// The configuration that is in force everywhere.
+///
+/// # Invariants
+///
+/// A process that has accepted a revision never goes back to a lower one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// The revision; it only rises.
+    pub revision: id::Revision,
+    /// The failure domains.
+    pub domains: BTreeSet<id::Domain>,
+    /// Failure domains that operators have taken out of service.
+    #[serde(default)]
+    pub domains_out: BTreeSet<id::Domain>,
+    /// Hosts that operators have taken out of service.
+    #[serde(default)]
+    pub hosts_out: BTreeSet<id::Host>,
+    /// The priority classes.
+    pub classes: BTreeMap<id::Class, Class>,
+    /// The callers.
+    pub callers: BTreeMap<id::Caller, Caller>,
+    /// The services.
+    pub services: BTreeMap<id::Service, Service>,
+    /// Smallest time allowance that a caller may state, in milliseconds.
+    pub least_allowance_ms: u64,
+    /// Largest time allowance that a caller may state, in milliseconds.
+    pub most_allowance_ms: u64,
+}
+
+impl Config {
+    /// Whether `allowance` is one that a caller may state.
+    pub fn allows(&self, allowance: Duration) -> bool {
+        let least = Duration::from_millis(self.least_allowance_ms);
+        let most = Duration::from_millis(self.most_allowance_ms);
+        (least..=most).contains(&allowance)
+    }
+
+    /// All that makes the configuration unfit to be in force.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for (name, service) in &self.services {
+            if !self.classes.contains_key(&service.class) {
+                faults.push(format!(
+                    "services.{name}.class: no class `{}`",
+                    service.class
+                ));
+            }
+            if service.slots == 0 {
+                faults.push(format!(
+                    "services.{name}.slots: found 0, at least 1 is right"
+                ));
+            }
+            if service.connections < service.slots {
+                faults.push(format!(
+                    "services.{name}.connections: found {}, at least its {} slots is right",
+                    service.connections, service.slots
+                ));
+            }
+        }
+        for domain in &self.domains_out {
+            if !self.domains.contains(domain) {
+                faults.push(format!("domains_out: no failure domain `{domain}`"));
+            }
+        }
+        if self.least_allowance_ms > self.most_allowance_ms {
+            faults.push("least_allowance_ms: above most_allowance_ms".to_owned());
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/crates/lentillift-settings/src/lib.rs
@@ -0,0 +1,13 @@
+//! Settings of a process, the published configuration, and their checks.
+//!
+//! The platform publishes three kinds of value, each with a revision of its own:
+//! [`config::Config`] under `config`, [`roster::Roster`] under `hosts`, and one
+//! [`placement::Placement`] per service under `service/NAME`.
+
+#![forbid(unsafe_code)]
+
+pub mod config;
+pub mod daemon;
+pub mod jsonc;
+pub mod placement;
+pub mod roster;
--- /dev/null
+++ b/crates/lentillift-standin/src/lib.rs
@@ -0,0 +1,8 @@
+//! Small stand-ins for the platform's configuration service and for backend servers.
+//!
+//! They speak the interfaces of `docs/INTERFACES.md` over loopback and misbehave on request.
+
+#![forbid(unsafe_code)]
+
+pub mod backend;
+pub mod platform;
--- /dev/null
+++ b/crates/lentilliftd/src/entry.rs
@@ -0,0 +1,162 @@
+//! The task that serves queries.
+
+use crate::peers::Peers;
+use lentillift_caller::call::Call;
+use lentillift_core::id;
+use lentillift_core::refusal::Refusal;
+use lentillift_core::sub;
+use lentillift_core::time::Clock;
+use lentillift_entry::answer::Answer;
+use lentillift_entry::core::Effect;
+use lentillift_entry::core::Entry;
+use lentillift_entry::core::Event;
+use lentillift_fleet::view::View;
+use lentillift_node::message::Message;
+use lentillift_operator::server::Board;
+use rand::rngs::StdRng;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+/// What other tasks tell this one.
+#[derive(Debug)]
+pub enum Mail {
+    /// A caller's call about a query.
+    Call(Call),
+    /// An owner answered a sub-request.
+    Result {
+        /// The sub-request's number.
+        id: id::Sub,
+        /// The result.
+        result: sub::Result,
+    },
+    /// The link to a host ended.
+    Down(id::Host),
+}
+
+/// A caller that waits.
+#[derive(Debug)]
+struct Waiting {
+    reply: oneshot::Sender<Result<Answer, Refusal>>,
+    service: id::Service,
+    since: Duration,
+}
+
+/// The task that serves queries.
+#[derive(Debug)]
+pub struct Task {
+    entry: Entry<StdRng>,
+    waiting: HashMap<id::Request, Waiting>,
+    clock: Clock,
+    peers: Peers,
+    board: Board,
+}
+
+impl Task {
+    /// Makes the task; nothing is served yet.
+    pub fn new(rng: StdRng, clock: Clock, peers: Peers, board: Board) -> Self {
+        Self {
+            entry: Entry::new(rng),
+            waiting: HashMap::new(),
+            clock,
+            peers,
+            board,
+        }
+    }
+
+    /// Serves until all senders are gone.
+    pub async fn run(
+        mut self,
+        mut mail: mpsc::Receiver<Mail>,
+        mut view: watch::Receiver<Arc<View>>,
+    ) {
+        loop {
+            let wake = self.entry.next_wake();
+            let event = tokio::select! {
+                received = mail.recv() => match received {
+                    Some(received) => self.open(received),
+                    None => return,
+                },
+                changed = view.changed() => match changed {
+                    Ok(()) => Some(Event::View(view.borrow_and_update().clone())),
+                    Err(_) => return,
+                },
+                () = until(self.clock, wake) => Some(Event::Tick),
+            };
+            if let Some(event) = event {
+                let effects = self.entry.handle(self.clock.now(), event);
+                self.carry_out(effects).await;
+            }
+        }
+    }
+
+    fn open(&mut self, mail: Mail) -> Option<Event> {
+        match mail {
+            Mail::Call(Call::Query {
+                request,
+                ask,
+                reply,
+            }) => {
+                let waiting = Waiting {
+                    reply,
+                    service: ask.service.clone(),
+                    since: self.clock.now(),
+                };
+                self.waiting.insert(request, waiting);
+                Some(Event::Ask { request, ask })
+            }
+            Mail::Call(Call::Gone { request }) => {
+                self.waiting.remove(&request);
+                Some(Event::Gone { request })
+            }
+            Mail::Call(Call::Issue { .. } | Call::Action { .. }) => None,
+            Mail::Result { id, result } => Some(Event::Reply { id, result }),
+            Mail::Down(host) => Some(Event::Down { host }),
+        }
+    }
+
+    async fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, sub } => self.peers.send(&to, Message::Sub(sub)).await,
+                Effect::Cancel { to, id } => self.peers.send(&to, Message::Cancel(id)).await,
+                Effect::Answer { request, answer } => self.answer(request, Ok(answer)),
+                Effect::Refuse { request, refusal } => self.answer(request, Err(refusal)),
+            }
+        }
+    }
+
+    fn answer(&mut self, request: id::Request, answer: Result<Answer, Refusal>) {
+        let Some(waiting) = self.waiting.remove(&request) else {
+            return;
+        };
+        let labels = [("service", &*waiting.service)];
+        match &answer {
+            Ok(answer) => {
+                let latency = self.clock.now() - waiting.since;
+                self.board
+                    .observe("lentillift_query_seconds", &labels, latency);
+                let coverage = &answer.coverage;
+                let shards = u64::from(coverage.shards);
+                let answered = u64::from(coverage.answered);
+                self.board.add("lentillift_shards_total", &labels, shards);
+                self.board
+                    .add("lentillift_shards_answered_total", &labels, answered);
+            }
+            Err(_) => self.board.add("lentillift_refusals_total", &labels, 1),
+        }
+        // The caller may have gone away meanwhile.
+        let _ = waiting.reply.send(answer);
+    }
+}
+
+/// Waits until `wake`, or forever when there is none.
+async fn until(clock: Clock, wake: Option<Duration>) {
+    match wake {
+        Some(wake) => tokio::time::sleep(wake.saturating_sub(clock.now())).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/lentilliftd/src/peers.rs
@@ -0,0 +1,156 @@
+//! Sending to other processes, and sorting what comes from them.
+
+use lentillift_core::id;
+use lentillift_core::sub;
+use lentillift_core::sub::Desk;
+use lentillift_core::sub::Failure;
+use lentillift_fleet::view::View;
+use lentillift_node::hub;
+use lentillift_node::hub::Inbound;
+use lentillift_node::link::Peer;
+use lentillift_node::message::Message;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::entry;
+use crate::once;
+use crate::owner;
+
+/// A way to send messages to any host, this one included.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    me: id::Host,
+    view: watch::Receiver<Arc<View>>,
+    hub: hub::Handle,
+    local: mpsc::Sender<Inbound>,
+    peer: Peer,
+}
+
+impl Peers {
+    /// Makes a way to send over `hub`, and back to this process over `local`.
+    pub fn new(
+        peer: Peer,
+        view: watch::Receiver<Arc<View>>,
+        hub: hub::Handle,
+        local: mpsc::Sender<Inbound>,
+    ) -> Self {
+        Self {
+            me: peer.host.clone(),
+            view,
+            hub,
+            local,
+            peer,
+        }
+    }
+
+    /// Sends a message; what can't be sent comes back as undelivered.
+    pub async fn send(&self, to: &id::Host, message: Message) {
+        if *to == self.me {
+            let received = Inbound::Received {
+                peer: self.peer.clone(),
+                messages: vec![message],
+            };
+            let _ = self.local.send(received).await;
+            return;
+        }
+        match self.address(to) {
+            Some(address) => self.hub.send(to.clone(), address, message).await,
+            None => {
+                let to = to.clone();
+                let _ = self.local.send(Inbound::Undelivered { to, message }).await;
+            }
+        }
+    }
+
+    fn address(&self, host: &id::Host) -> Option<std::net::SocketAddr> {
+        let view = self.view.borrow();
+        let roster = view.values.roster.as_ref()?;
+        Some(roster.hosts.get(host)?.address)
+    }
+}
+
+/// The tasks that messages are for.
+#[derive(Debug, Clone)]
+pub struct Desks {
+    /// The task that serves queries.
+    pub entry: mpsc::Sender<entry::Mail>,
+    /// The task that serves requests that may run at most once.
+    pub once: mpsc::Sender<once::Mail>,
+    /// The task that owns backend servers.
+    pub owner: mpsc::Sender<owner::Mail>,
+}
+
+/// Passes on what comes from other processes until all senders are gone.
+pub async fn sort(mut inbound: mpsc::Receiver<Inbound>, desks: Desks) {
+    while let Some(inbound) = inbound.recv().await {
+        match inbound {
+            Inbound::Received { peer, messages } => {
+                for message in messages {
+                    desks.receive(&peer.host, message).await;
+                }
+            }
+            Inbound::Undelivered { message, .. } => desks.undelivered(message).await,
+            Inbound::Down { host } => {
+                let _ = desks.entry.send(entry::Mail::Down(host.clone())).await;
+                let _ = desks.once.send(once::Mail::Down(host)).await;
+            }
+        }
+    }
+}
+
+impl Desks {
+    async fn receive(&self, from: &id::Host, message: Message) {
+        let from = from.clone();
+        match message {
+            Message::Sub(sub) => {
+                let _ = self.owner.send(owner::Mail::Sub { from, sub }).await;
+            }
+            Message::Cancel(id) => {
+                let _ = self.owner.send(owner::Mail::Cancel { from, id }).await;
+            }
+            Message::Result { desk, id, result } => self.result(desk, id, result).await,
+            Message::Submit(submit) => {
+                let _ = self.once.send(once::Mail::Submit { from, submit }).await;
+            }
+            Message::Settled {
+                request,
+                outcome,
+                body,
+            } => {
+                let settled = once::Mail::Settled {
+                    request,
+                    outcome,
+                    body,
+                };
+                let _ = self.once.send(settled).await;
+            }
+        }
+    }
+
+    /// A message that never left this process has run nowhere.
+    async fn undelivered(&self, message: Message) {
+        match message {
+            Message::Sub(sub) => {
+                let result = sub::Result::not_run(Failure::Connection);
+                self.result(sub.work.desk(), sub.id, result).await;
+            }
+            Message::Submit(submit) => {
+                let _ = self.once.send(once::Mail::Undelivered(submit)).await;
+            }
+            // Who was to get one of these sees the link end and decides by itself.
+            Message::Cancel(_) | Message::Result { .. } | Message::Settled { .. } => {}
+        }
+    }
+
+    async fn result(&self, desk: Desk, id: id::Sub, result: sub::Result) {
+        match desk {
+            Desk::Query => {
+                let _ = self.entry.send(entry::Mail::Result { id, result }).await;
+            }
+            Desk::Once => {
+                let _ = self.once.send(once::Mail::Result { id, result }).await;
+            }
+        }
+    }
+}
