--- a/crates/lentillift-caller/src/call.rs
+++ b/crates/lentillift-caller/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls as they pass from the listener to the tasks that carry them out.
 
+use crate::parse::Issue;
 use lentillift_core::id;
 use lentillift_core::outcome::Outcome;
 use lentillift_core::refusal::Refusal;
@@ -51,6 +52,8 @@
     },
     /// A caller wants an id for a request that may run at most once.
     Issue {
+        /// For which service, and for whom.
+        issue: Issue,
         /// Where the id goes.
         reply: oneshot::Sender<Result<String, Refusal>>,
     },
--- a/crates/lentillift-caller/src/parse.rs
+++ b/crates/lentillift-caller/src/parse.rs
@@ -5,11 +5,14 @@
 use http::HeaderMap;
 use http::Method;
 use http::Request;
+use lentillift_core::id;
 use lentillift_core::refusal::Cause;
 use lentillift_core::refusal::Refusal;
 use lentillift_entry::answer::Ask;
-use serde::Deserialize;
 use serde::de::IgnoredAny;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::collections::HashMap;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -37,11 +40,20 @@
     /// A query.
     Query(Ask),
     /// An id for a request that may run at most once.
-    Issue,
+    Issue(Issue),
     /// A request that may run at most once.
     Action(Action),
 }
 
+/// A wish for an id of a request that may run at most once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Issue {
+    /// The service.
+    pub service: id::Service,
+    /// The caller.
+    pub caller: id::Caller,
+}
+
 /// Why a request was not understood.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
@@ -53,11 +65,8 @@
     Refused(Refusal),
 }
 
-/// The field of a query's body that is not opaque.
-#[derive(Debug, Deserialize)]
-struct Body {
-    limit: Option<usize>,
-}
+/// The fields of a query's body; all but `limit` are the backend servers' own.
+type Body<'a> = HashMap<Cow<'a, str>, &'a RawValue>;
 
 /// Parses a request.
 ///
@@ -81,15 +90,19 @@
     match verb {
         "query" => query(service, request).map(Route::Query),
         "action" => action(service, request).map(Route::Action),
-        _ => Ok(Route::Issue),
+        _ => issue(service, request).map(Route::Issue),
     }
     .map_err(Fault::Refused)
 }
 
 fn query(service: &str, request: &Request<Bytes>) -> Result<Ask, Refusal> {
     let headers = request.headers();
-    let body: Body = serde_json::from_slice(request.body()).map_err(malformed)?;
-    let limit = body.limit.unwrap_or(DEFAULT_LIMIT);
+    let body: Body<'_> = serde_json::from_slice(request.body()).map_err(malformed)?;
+    let limit = match body.get("limit") {
+        Some(limit) => serde_json::from_str(limit.get())
+            .map_err(|e| malformed(format!("limit: found {limit}: {e}")))?,
+        None => DEFAULT_LIMIT,
+    };
     if limit > MOST_HITS {
         return Err(malformed(format!(
             "limit: found {limit}, at most {MOST_HITS} is right"
@@ -103,7 +116,7 @@
     }
     Ok(Ask {
         service: service.into(),
-        caller: required::<String>(headers, CALLER)?.into(),
+        caller: caller(headers)?,
         allowance: allowance(headers)?,
         limit,
         least_coverage,
@@ -111,18 +124,33 @@
     })
 }
 
+fn issue(service: &str, request: &Request<Bytes>) -> Result<Issue, Refusal> {
+    Ok(Issue {
+        service: service.into(),
+        caller: caller(request.headers())?,
+    })
+}
+
 fn action(service: &str, request: &Request<Bytes>) -> Result<Action, Refusal> {
     let headers = request.headers();
     serde_json::from_slice::<IgnoredAny>(request.body()).map_err(malformed)?;
     Ok(Action {
         service: service.into(),
-        caller: required::<String>(headers, CALLER)?.into(),
+        caller: caller(headers)?,
         allowance: allowance(headers)?,
         key: required(headers, KEY)?,
         body: request.body().to_vec(),
     })
 }
 
+fn caller(headers: &HeaderMap) -> Result<id::Caller, Refusal> {
+    let name: String = required(headers, CALLER)?;
+    if name.is_empty() {
+        return Err(malformed(format!("{CALLER}: missing")));
+    }
+    Ok(name.into())
+}
+
 fn allowance(headers: &HeaderMap) -> Result<Duration, Refusal> {
     let missing = || {
         let detail = format!("{ALLOWANCE}: missing, a number of milliseconds is right");
@@ -144,9 +172,15 @@
 where
     T: FromStr,
 {
-    let Some(value) = headers.get(name) else {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
         return Ok(None);
     };
+    // Which of two values counts would be a guess, and callers would be mixed up.
+    let more = values.count();
+    if more > 0 {
+        return Err(malformed(format!("{name}: found {} values", more + 1)));
+    }
     let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
     match parsed {
         Some(parsed) => Ok(Some(parsed)),
--- a/crates/lentillift-caller/src/server.rs
+++ b/crates/lentillift-caller/src/server.rs
@@ -5,6 +5,7 @@
 use crate::call::Settled;
 use crate::parse;
 use crate::parse::Fault;
+use crate::parse::Issue;
 use crate::parse::Route;
 use crate::render;
 use bytes::Bytes;
@@ -75,7 +76,7 @@
     async fn handle(&self, request: Request<Bytes>) -> Response<Bytes> {
         match parse::route(&request) {
             Ok(Route::Query(ask)) => self.query(ask).await,
-            Ok(Route::Issue) => self.issue().await,
+            Ok(Route::Issue(issue)) => self.issue(issue).await,
             Ok(Route::Action(action)) => self.action(action).await,
             Err(Fault::NoRoute) => plain(StatusCode::NOT_FOUND, "no such route".to_owned()),
             Err(Fault::Method) => plain(StatusCode::METHOD_NOT_ALLOWED, "POST is right".to_owned()),
@@ -106,9 +107,9 @@
         }
     }
 
-    async fn issue(&self) -> Response<Bytes> {
+    async fn issue(&self, issue: Issue) -> Response<Bytes> {
         let (reply, key) = oneshot::channel();
-        let _ = self.calls.send(Call::Issue { reply }).await;
+        let _ = self.calls.send(Call::Issue { issue, reply }).await;
         match key.await {
             Ok(Ok(key)) => render::issued(&key),
             Ok(Err(refusal)) => render::refusal(&refusal),
--- a/crates/lentilliftd/src/once.rs
+++ b/crates/lentilliftd/src/once.rs
@@ -139,7 +139,7 @@
 
     async fn open(&mut self, mail: Mail) {
         match mail {
-            Mail::Call(Call::Issue { reply }) => {
+            Mail::Call(Call::Issue { reply, .. }) => {
                 let _ = reply.send(self.issue());
             }
             Mail::Call(Call::Action {
