Give the view hosts, regions and a freshness deadline

The owner and the entry must be able to tell a view that is too old to act on. The view now names every known host with address, domain, region, stage and health, and carries the time until which it may be acted on; a process that is paused sees the deadline pass without any message. Cloning a view is cheap, since the deadline will be renewed several times a second.

The entry refuses with 'stale' once the deadline has passed. Hosts still come from the published list alone and the deadline is never reached; probing follows.

--- a/crates/lentillift-core/src/id.rs
+++ b/crates/lentillift-core/src/id.rs
@@ -8,6 +8,9 @@
 /// Name of a failure domain.
 pub type Domain = Arc<str>;
 
+/// Name of a region, which holds failure domains.
+pub type Region = Arc<str>;
+
 /// Name of a service.
 pub type Service = Arc<str>;
 
--- a/crates/lentillift-entry/src/core.rs
+++ b/crates/lentillift-entry/src/core.rs
@@ -171,6 +171,11 @@
 
     /// Checks a query and pins it to a snapshot.
     fn admit(&self, now: Time, ask: Ask) -> Result<Query, Refusal> {
+        // A process that was paused or cut off knows nothing of what was taken out meanwhile.
+        if !self.view.fresh(now) {
+            return Err(Refusal::new(Cause::Stale, "no fresh view of the fleet")
+                .retry_after(Duration::from_secs(1)));
+        }
         let Some(config) = &self.view.values.config else {
             return Err(Refusal::new(Cause::Stale, "no configuration yet")
                 .retry_after(Duration::from_secs(1)));
--- a/crates/lentillift-fleet/src/view.rs
+++ b/crates/lentillift-fleet/src/view.rs
@@ -2,6 +2,7 @@
 
 use crate::rendezvous;
 use lentillift_core::id;
+use lentillift_core::time::Time;
 use lentillift_settings::config::Config;
 use lentillift_settings::placement::Placement;
 use lentillift_settings::placement::Server;
@@ -9,6 +10,7 @@
 use lentillift_settings::roster::Roster;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// The values in force at this process.
@@ -33,38 +35,112 @@
     pub owner: Option<id::Host>,
 }
 
-/// An immutable picture of the fleet, made anew at each change.
+/// How far a host's process has come, as the process itself says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Stage {
+    /// It gathers what it must know before it takes work.
+    Starting,
+    /// It takes work.
+    Serving,
+    /// It finishes what it has and takes nothing new.
+    Leaving,
+    /// It has ended.
+    Gone,
+}
+
+/// What the other processes found out about a host by probing it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Health {
+    /// It answers, as far as anybody knows.
+    Alive,
+    /// It failed to answer and has not contradicted yet.
+    Suspect,
+    /// It failed to answer for longer than a live host would.
+    Dead,
+}
+
+/// A host as this process knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Host {
+    /// Where its process listens for the others, by TCP and UDP.
+    pub address: SocketAddr,
+    /// The failure domain it is in.
+    pub domain: id::Domain,
+    /// The region its failure domain is in.
+    pub region: id::Region,
+    /// The incarnation of its process; 0 as long as nobody has heard of it.
+    pub incarnation: id::Incarnation,
+    /// How far its process has come.
+    pub stage: Stage,
+    /// Whether it answers.
+    pub health: Health,
+    /// Whether operators have taken it or its failure domain out, or it is published as leaving.
+    pub out: bool,
+}
+
+impl Host {
+    /// Whether it may be given work.
+    pub fn is_usable(&self) -> bool {
+        self.stage == Stage::Serving && self.health != Health::Dead && !self.out
+    }
+}
+
+/// An immutable picture of the fleet, made anew at each change; cloning it is cheap.
 #[derive(Debug, Clone, Default)]
 pub struct View {
+    /// Changes with everything but [`Self::fresh_until`].
+    pub generation: u64,
+    /// When this picture is too old to act on, unless it is renewed.
+    ///
+    /// A process that is paused or cut off stops renewing it. Who compares it with the clock at
+    /// each act needs no message to learn of the pause.
+    pub fresh_until: Time,
     /// The values in force.
-    pub values: Values,
+    pub values: Arc<Values>,
     /// All backend servers by name.
-    pub backends: HashMap<id::Backend, Backend>,
-    /// Hosts that are held to be alive.
-    pub alive: Vec<id::Host>,
+    pub backends: Arc<HashMap<id::Backend, Backend>>,
+    /// All hosts that are published or were heard of, this process's own included.
+    pub hosts: Arc<BTreeMap<id::Host, Host>>,
+    /// Hosts that may be given work, in the order of their names.
+    // INVARIANT: When made by `derive`, the hosts of `hosts` for which `is_usable` holds.
+    pub alive: Arc<[id::Host]>,
 }
 
 impl View {
-    /// Derives a view from the values in force and the hosts held to be alive.
+    /// Derives a view that stays fresh from the values in force and the hosts held to be alive.
     pub fn new(values: Values, alive: Vec<id::Host>) -> Self {
-        let mut backends = HashMap::new();
-        for (service, placement) in &values.placements {
-            for (name, server) in &placement.servers {
-                let backend = Backend {
-                    service: service.clone(),
-                    server: server.clone(),
-                    owner: rendezvous::choose(name, &alive).cloned(),
-                };
-                backends.insert(name.clone(), backend);
-            }
+        Self {
+            generation: 0,
+            fresh_until: Time::MAX,
+            backends: Arc::new(backends(&values, &alive)),
+            values: Arc::new(values),
+            hosts: Arc::default(),
+            alive: alive.into(),
         }
+    }
+
+    /// Derives a view from the values in force and all that is known of hosts.
+    pub fn derive(
+        generation: u64,
+        fresh_until: Time,
+        values: Values,
+        hosts: BTreeMap<id::Host, Host>,
+    ) -> Self {
+        let usable = hosts.iter().filter(|(_, host)| host.is_usable());
+        let alive = usable.map(|(name, _)| name.clone()).collect();
         Self {
-            values,
-            backends,
-            alive,
+            generation,
+            fresh_until,
+            hosts: Arc::new(hosts),
+            ..Self::new(values, alive)
         }
     }
 
+    /// Whether the process may still act on this picture at `now`.
+    pub fn fresh(&self, now: Time) -> bool {
+        now < self.fresh_until
+    }
+
     /// Whether new work may be sent to `backend`, as far as operators and the platform say.
     pub fn in_service(&self, backend: &str) -> bool {
         let Some(backend) = self.backends.get(backend) else {
@@ -83,3 +159,18 @@
         self.backends.get(backend)?.owner.as_ref()
     }
 }
+
+fn backends(values: &Values, alive: &[id::Host]) -> HashMap<id::Backend, Backend> {
+    let mut backends = HashMap::new();
+    for (service, placement) in &values.placements {
+        for (name, server) in &placement.servers {
+            let backend = Backend {
+                service: service.clone(),
+                server: server.clone(),
+                owner: rendezvous::choose(name, alive).cloned(),
+            };
+            backends.insert(name.clone(), backend);
+        }
+    }
+    backends
+}
--- a/crates/lentillift-settings/src/config.rs
+++ b/crates/lentillift-settings/src/config.rs
@@ -65,6 +65,9 @@
     pub revision: id::Revision,
     /// The failure domains.
     pub domains: BTreeSet<id::Domain>,
+    /// The region of each failure domain; those that are not named are in one region together.
+    #[serde(default)]
+    pub regions: BTreeMap<id::Domain, id::Region>,
     /// Failure domains that operators have taken out of service.
     #[serde(default)]
     pub domains_out: BTreeSet<id::Domain>,
@@ -91,6 +94,16 @@
         (least..=most).contains(&allowance)
     }
 
+    /// The region that `domain` is in.
+    pub fn region(&self, domain: &id::Domain) -> id::Region {
+        self.regions.get(domain).cloned().unwrap_or_default()
+    }
+
+    /// Whether operators have taken a host, or the failure domain it is in, out of service.
+    pub fn is_out(&self, host: &id::Host, domain: &id::Domain) -> bool {
+        self.hosts_out.contains(host) || self.domains_out.contains(domain)
+    }
+
     /// All that makes the configuration unfit to be in force.
     pub fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
@@ -118,6 +131,11 @@
                 faults.push(format!("domains_out: no failure domain `{domain}`"));
             }
         }
+        for domain in self.regions.keys() {
+            if !self.domains.contains(domain) {
+                faults.push(format!("regions.{domain}: no failure domain `{domain}`"));
+            }
+        }
         if self.least_allowance_ms > self.most_allowance_ms {
             faults.push("least_allowance_ms: above most_allowance_ms".to_owned());
         }
--- a/crates/lentillift-settings/src/daemon.rs
+++ b/crates/lentillift-settings/src/daemon.rs
@@ -21,4 +21,7 @@
     pub operator_address: SocketAddr,
     /// Where the platform's configuration service listens.
     pub platform_address: SocketAddr,
+    /// Node addresses of some other processes, which a start asks when the platform can't be read.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
 }
--- a/crates/lentillift/src/demo/fleet.rs
+++ b/crates/lentillift/src/demo/fleet.rs
@@ -154,6 +154,7 @@
         node_address: any,
         operator_address: any,
         platform_address,
+        seeds: Vec::new(),
     }
 }
 
@@ -192,6 +193,7 @@
     Config {
         revision: 1,
         domains: DOMAINS.into_iter().map(id::Domain::from).collect(),
+        regions: BTreeMap::new(),
         domains_out: Default::default(),
         hosts_out: Default::default(),
         classes: [("name".into(), class(0)), ("urgent".into(), class(1))].into(),
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -64,9 +64,7 @@
     }
 
     fn address(&self, host: &id::Host) -> Option<std::net::SocketAddr> {
-        let view = self.view.borrow();
-        let roster = view.values.roster.as_ref()?;
-        Some(roster.hosts.get(host)?.address)
+        Some(self.view.borrow().hosts.get(host)?.address)
     }
 }
 
--- a/crates/lentilliftd/src/view.rs
+++ b/crates/lentilliftd/src/view.rs
@@ -4,6 +4,10 @@
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
 use lentillift_core::id;
+use lentillift_core::time::Time;
+use lentillift_fleet::view::Health;
+use lentillift_fleet::view::Host;
+use lentillift_fleet::view::Stage;
 use lentillift_fleet::view::Values;
 use lentillift_fleet::view::View;
 use lentillift_operator::server::Board;
@@ -13,7 +17,9 @@
 use lentillift_settings::jsonc;
 use lentillift_settings::placement::Placement;
 use lentillift_settings::placement::State;
+use lentillift_settings::roster::Entry;
 use lentillift_settings::roster::Roster;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -32,6 +38,7 @@
     board: Board,
     index: Index,
     values: Values,
+    generation: u64,
     view: watch::Sender<Arc<View>>,
 }
 
@@ -43,6 +50,7 @@
             board,
             index: Index::default(),
             values: Values::default(),
+            generation: 0,
             view,
         }
     }
@@ -136,28 +144,37 @@
         Ok(true)
     }
 
-    fn derive(&self) {
-        let alive = alive(&self.values);
+    fn derive(&mut self) {
+        let hosts = hosts(&self.values);
         let ready = self.values.config.is_some() && self.values.roster.is_some();
         self.board.set_ready(ready);
-        let view = View::new(self.values.clone(), alive);
+        self.generation += 1;
+        let view = View::derive(self.generation, Time::MAX, self.values.clone(), hosts);
         self.view.send_replace(Arc::new(view));
     }
 }
 
-/// The hosts that are published as live and not taken out.
-fn alive(values: &Values) -> Vec<id::Host> {
+/// The published hosts.
+fn hosts(values: &Values) -> BTreeMap<id::Host, Host> {
     let Some(roster) = &values.roster else {
-        return Vec::new();
+        return BTreeMap::new();
     };
-    let out = |host: &id::Host, domain: &id::Domain| {
-        values.config.as_ref().is_some_and(|config| {
-            config.hosts_out.contains(host) || config.domains_out.contains(domain)
-        })
-    };
-    let hosts = roster.hosts.iter();
-    hosts
-        .filter(|(host, entry)| entry.state == State::Live && !out(host, &entry.domain))
-        .map(|(host, _)| host.clone())
+    let entries = roster.hosts.iter();
+    entries
+        .map(|(name, entry)| (name.clone(), host(values, name, entry)))
         .collect()
 }
+
+fn host(values: &Values, name: &id::Host, entry: &Entry) -> Host {
+    let config = values.config.as_ref();
+    let out = config.is_some_and(|config| config.is_out(name, &entry.domain));
+    Host {
+        address: entry.address,
+        domain: entry.domain.clone(),
+        region: config.map(|c| c.region(&entry.domain)).unwrap_or_default(),
+        incarnation: 0,
+        stage: Stage::Serving,
+        health: Health::Alive,
+        out: out || entry.state == State::Leaving,
+    }
+}
