Decide under load at entries and owners

Cause: sub-requests went in the order of their arrival to a replica drawn at random, a server at its deadline was told so only when a slot came free, and cancellation and the loss of a link searched all sub-requests.

Change: lentillift-policy gains queue, slot limit, warm-up, health, cost, replica choice, hedging, retries, admission, coalescing and partial answers, each with figures and a switch in the configuration's new section policy. Owners send a server's load along with each result. Cancellation, lost links and finished queries use ordered indexes. A hedge is served only by a warm server with a free slot. Vanished servers are dropped from the owner.

Conclusion: the decisions are on the daemon's path.

--- a/crates/lentillift-backend/src/client.rs
+++ b/crates/lentillift-backend/src/client.rs
@@ -109,6 +109,7 @@
         load: header("x-load").and_then(|load| load.parse().ok()),
         draining: state == Some("draining"),
         cold: state == Some("cold"),
+        incarnation: header("x-incarnation").and_then(|number| number.parse().ok()),
     }
 }
 
--- a/crates/lentillift-core/src/sub.rs
+++ b/crates/lentillift-core/src/sub.rs
@@ -61,6 +61,9 @@
     pub allowance: Duration,
     /// The caller's body, passed on as it came.
     pub body: Arc<[u8]>,
+    /// Whether another replica was asked as well; it then runs at once on a warm backend server
+    /// with a free slot, or not at all.
+    pub hedge: bool,
 }
 
 /// Why a sub-request failed.
@@ -137,4 +140,23 @@
     pub draining: bool,
     /// Whether the backend server says that it is in a cold start.
     pub cold: bool,
+    /// Number of the backend server's own start, where it tells one.
+    pub incarnation: Option<id::Incarnation>,
+}
+
+/// Load of a backend server as its owner counts it; sent along with each result.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Sub-requests that wait.
+    pub queued: u32,
+    /// Requests in flight.
+    pub running: u32,
+    /// Requests that may be in flight.
+    pub limit: u32,
+    /// Whether the backend server is not warm.
+    pub cold: bool,
+    /// Time until a further request would be sent.
+    pub wait: Duration,
+    /// Time that requests took lately.
+    pub run: Duration,
 }
--- a/crates/lentillift-entry/src/core.rs
+++ b/crates/lentillift-entry/src/core.rs
@@ -1,35 +1,39 @@
 //! All queries that this process has taken from callers.
 
+mod send;
+mod settle;
+
 use crate::answer::Answer;
 use crate::answer::Ask;
+use crate::flights::Flights;
 use crate::plan;
 use crate::query::Query;
-use crate::query::State;
-use lentillift_core::coverage::Reason;
 use lentillift_core::id;
 use lentillift_core::refusal::Cause;
 use lentillift_core::refusal::Refusal;
 use lentillift_core::sub;
-use lentillift_core::sub::Failure;
+use lentillift_core::sub::Load;
 use lentillift_core::sub::Sub;
-use lentillift_core::sub::Work;
 use lentillift_core::time::Time;
 use lentillift_fleet::view::View;
+use lentillift_policy::admission;
+use lentillift_policy::admission::Admission;
+use lentillift_policy::choice::Loads;
+use lentillift_policy::coalescing;
+use lentillift_policy::coalescing::Key;
+use lentillift_policy::coalescing::Runs;
+use lentillift_policy::count::Counts;
+use lentillift_policy::hedge::Hedge;
+use lentillift_policy::partial;
+use lentillift_policy::retry::Retry;
 use lentillift_settings::config::Kind;
+use lentillift_settings::policy::Policy;
 use rand::Rng;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time kept back from an allowance for the merge and the way to the caller.
-///
-/// The merge of 68 lists takes well under a millisecond; the rest covers the callers' network.
-const MARGIN: Duration = Duration::from_millis(5);
-
-/// Replicas of one shard that a query tries at most.
-const MOST_TRIES: usize = 2;
-
 /// What happens to an entry.
 #[derive(Debug)]
 pub enum Event {
@@ -51,6 +55,8 @@
         id: id::Sub,
         /// The result.
         result: sub::Result,
+        /// The backend server's load, if its owner told it.
+        load: Option<Load>,
     },
     /// The link to an owner ended; what it was sent may or may not have arrived.
     Down {
@@ -96,24 +102,42 @@
     },
 }
 
-/// A sub-request under way.
+/// A caller's query, which may share its run with others.
 #[derive(Debug)]
-struct Flight {
-    request: id::Request,
-    /// Position of the shard in the query's map.
-    position: usize,
-    owner: id::Host,
+struct Member {
+    run: id::Request,
+    ask: Ask,
+    deadline: Time,
+}
+
+/// What an entry remembers of one service.
+#[derive(Debug, Default)]
+struct Pace {
+    admission: Admission,
+    hedge: Hedge,
+    retry: Retry,
 }
 
 /// All queries that this process has taken from callers.
 #[derive(Debug)]
 pub struct Entry<R> {
     view: Arc<View>,
+    policy: Policy,
+    domain: Option<id::Domain>,
+    members: HashMap<id::Request, Member>,
+    /// Queries under way, by the number of the request that started each.
+    // INVARIANT: Each has a member that waits for it.
     queries: HashMap<id::Request, Query>,
-    flights: HashMap<id::Sub, Flight>,
-    /// Deadlines of the queries under way.
+    /// The queries that further callers can share.
+    runs: Runs,
+    flights: Flights,
+    /// Deadlines of the members.
     deadlines: BTreeSet<(Time, id::Request)>,
+    loads: Loads,
+    // INVARIANT: Holds configured services only.
+    paces: HashMap<id::Service, Pace>,
     next_sub: id::Sub,
+    counts: Counts,
     rng: R,
 }
 
@@ -125,24 +149,37 @@
     pub fn new(rng: R) -> Self {
         Self {
             view: Arc::default(),
+            policy: Policy::default(),
+            domain: None,
+            members: HashMap::new(),
             queries: HashMap::new(),
-            flights: HashMap::new(),
+            runs: Runs::default(),
+            flights: Flights::default(),
             deadlines: BTreeSet::new(),
+            loads: Loads::default(),
+            paces: HashMap::new(),
             next_sub: 0,
+            counts: Counts::default(),
             rng,
         }
     }
 
+    /// Prefers backend servers in the failure domain that this process is in.
+    pub fn near(mut self, domain: id::Domain) -> Self {
+        self.domain = Some(domain);
+        self
+    }
+
     /// Takes in an event and says what to do about it.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         match event {
             Event::Ask { request, ask } => self.ask(now, request, ask),
-            Event::Gone { request } => self.abandon(request),
-            Event::Reply { id, result } => self.reply(now, id, result),
+            Event::Gone { request } => self.abandon(now, request),
+            Event::Reply { id, result, load } => self.reply(now, id, result, load),
             Event::Down { host } => self.lose(now, &host),
-            Event::Tick => self.expire(now),
+            Event::Tick => self.tick(now),
             Event::View(view) => {
-                self.view = view;
+                self.refit(view);
                 Vec::new()
             }
         }
@@ -150,36 +187,85 @@
 
     /// When [`Event::Tick`] is next due.
     pub fn next_wake(&self) -> Option<Time> {
-        self.deadlines.first().map(|(time, _)| *time)
+        let deadline = self.deadlines.first().map(|(time, _)| *time);
+        let hedge = self.flights.next_hedge();
+        deadline.into_iter().chain(hedge).min()
+    }
+
+    /// Counts of decisions since they were last taken.
+    pub fn counts(&mut self) -> &mut Counts {
+        &mut self.counts
+    }
+
+    fn refit(&mut self, view: Arc<View>) {
+        self.view = view;
+        let config = self.view.values.config.as_ref();
+        self.policy = config.map_or_else(Policy::default, |config| config.policy.clone());
+        let backends = &self.view.backends;
+        self.loads.retain(|backend| backends.contains_key(backend));
+        self.paces
+            .retain(|name, _| config.is_some_and(|config| config.services.contains_key(name)));
     }
 
     fn ask(&mut self, now: Time, request: id::Request, ask: Ask) -> Vec<Effect> {
-        let query = match self.admit(now, ask) {
+        let query = match self.check(now, &ask) {
             Ok(query) => query,
             Err(refusal) => return vec![Effect::Refuse { request, refusal }],
         };
+        let key = key(&query);
+        let coalescing = &self.policy.coalescing;
+        if let coalescing::Next::Join(run) = self.runs.next(coalescing, &key) {
+            self.counts.add("lentillift_coalesced_total");
+            self.enter(request, run, ask, query.deadline, query.rank);
+            return Vec::new();
+        }
+        if let Err(refusal) = self.admit(now, &query) {
+            return vec![Effect::Refuse { request, refusal }];
+        }
+        self.runs.start(key, request);
+        let (deadline, rank) = (query.deadline, query.rank);
         let shards = query.map.parts.len();
-        self.deadlines.insert((query.deadline, request));
         self.queries.insert(request, query);
+        self.enter(request, request, ask, deadline, rank);
         let mut effects = Vec::with_capacity(shards);
         for position in 0..shards {
-            effects.extend(self.try_replica(now, request, position, Vec::new()));
+            effects.extend(self.try_replica(now, request, position, Vec::new(), false));
         }
-        effects.extend(self.finish_if_settled(request));
+        self.close_if_holed(request);
+        effects.extend(self.finish_if_settled(now, request));
         effects
     }
 
+    /// Makes a caller a member of a run.
+    fn enter(
+        &mut self,
+        request: id::Request,
+        run: id::Request,
+        ask: Ask,
+        deadline: Time,
+        rank: u8,
+    ) {
+        if let Some(query) = self.queries.get_mut(&run) {
+            query.members.insert(request);
+            query.deadline = query.deadline.max(deadline);
+            query.rank = query.rank.min(rank);
+        }
+        self.deadlines.insert((deadline, request));
+        let member = Member { run, ask, deadline };
+        self.members.insert(request, member);
+    }
+
     /// Checks a query and pins it to a snapshot.
-    fn admit(&self, now: Time, ask: Ask) -> Result<Query, Refusal> {
+    fn check(&self, now: Time, ask: &Ask) -> Result<Query, Refusal> {
         let Some(config) = &self.view.values.config else {
             return Err(Refusal::new(Cause::Stale, "no configuration yet")
                 .retry_after(Duration::from_secs(1)));
         };
         let service = config.services.get(&ask.service);
-        if service.is_none_or(|service| service.kind != Kind::Search) {
+        let Some(service) = service.filter(|service| service.kind == Kind::Search) else {
             let detail = format!("no search service `{}`", ask.service);
             return Err(Refusal::new(Cause::UnknownService, detail));
-        }
+        };
         if !config.callers.contains_key(&ask.caller) {
             let detail = format!("no caller `{}`", ask.caller);
             return Err(Refusal::new(Cause::UnknownCaller, detail));
@@ -196,155 +282,40 @@
         let Some(map) = plan::snapshot(&self.view, &ask.service) else {
             return Err(Refusal::new(Cause::NoSnapshot, "no snapshot is published"));
         };
-        let deadline = now + ask.allowance.saturating_sub(MARGIN);
-        Ok(Query::new(ask, map.clone(), deadline))
+        let deadline = partial::due(&self.policy.partial, now, ask.allowance);
+        let class = config.class(service, &ask.caller);
+        let mut query = Query::new(ask.clone(), map.clone(), deadline);
+        query.rank = class.map_or(u8::MAX, |class| class.rank);
+        Ok(query)
     }
 
-    /// Sends the sub-request for one shard to a replica that was not tried yet.
-    fn try_replica(
-        &mut self,
-        now: Time,
-        request: id::Request,
-        position: usize,
-        mut tried: Vec<id::Backend>,
-    ) -> Option<Effect> {
-        let query = self.queries.get_mut(&request)?;
-        let part = &query.map.parts[position];
-        let usable: Vec<&id::Backend> = part
-            .replicas
-            .iter()
-            .filter(|backend| self.view.in_service(backend) && !tried.contains(backend))
-            .collect();
-        if usable.is_empty() {
-            return None;
-        }
-        let backend = usable[self.rng.random_range(0..usable.len())].clone();
-        let owner = self.view.owner(&backend)?.clone();
-        tried.push(backend.clone());
-        self.next_sub += 1;
-        let sub = Sub {
-            id: self.next_sub,
-            service: query.ask.service.clone(),
-            backend,
+    /// Asks whether a query may run beside all others.
+    fn admit(&mut self, now: Time, query: &Query) -> Result<(), Refusal> {
+        let config = self.view.values.config.as_ref();
+        let caller = config.and_then(|config| config.callers.get(&query.ask.caller));
+        let ask = admission::Ask {
+            rank: query.rank,
             caller: query.ask.caller.clone(),
-            work: Work::Search {
-                snapshot: query.map.snapshot,
-                shard: part.shard,
-            },
-            allowance: query.deadline.saturating_sub(now),
-            body: query.ask.body.clone(),
-        };
-        query.states[position] = State::Pending { tried };
-        let flight = Flight {
-            request,
-            position,
-            owner: owner.clone(),
+            weight: caller.map_or(1, |caller| caller.weight),
+            cost: query.map.parts.len() as u32,
         };
-        self.flights.insert(sub.id, flight);
-        Some(Effect::Send { to: owner, sub })
-    }
-
-    fn reply(&mut self, now: Time, id: id::Sub, result: sub::Result) -> Vec<Effect> {
-        // A reply that is late or doubled finds no flight and counts for nothing.
-        let Some(flight) = self.flights.remove(&id) else {
-            return Vec::new();
-        };
-        let Some(query) = self.queries.get_mut(&flight.request) else {
-            return Vec::new();
-        };
-        let state = &mut query.states[flight.position];
-        let mut effects = Vec::new();
-        match result {
-            sub::Result::Hits(hits) => *state = State::Answered(hits),
-            sub::Result::Reply(_) => *state = State::Missing(Reason::Failed),
-            sub::Result::Failed { failure, .. } => {
-                let old = std::mem::replace(state, State::Missing(reason(failure)));
-                if let State::Pending { tried } = old
-                    && tried.len() < MOST_TRIES
-                {
-                    let again = self.try_replica(now, flight.request, flight.position, tried);
-                    effects.extend(again);
-                }
+        let pace = self.paces.entry(query.ask.service.clone()).or_default();
+        match pace.admission.next(&self.policy.admission, now, &ask) {
+            admission::Next::Take => Ok(()),
+            admission::Next::Refuse { retry_after } => {
+                self.counts.add("lentillift_admission_refused_total");
+                let detail = "more is asked than the service can answer in time";
+                Err(Refusal::new(Cause::Overload, detail).retry_after(retry_after))
             }
         }
-        effects.extend(self.finish_if_settled(flight.request));
-        effects
-    }
-
-    /// Gives up the sub-requests that were with a host whose link ended.
-    fn lose(&mut self, now: Time, host: &id::Host) -> Vec<Effect> {
-        let lost = self.flights.iter().filter(|(_, f)| f.owner == *host);
-        let mut lost: Vec<id::Sub> = lost.map(|(id, _)| *id).collect();
-        lost.sort_unstable();
-        let failed = || sub::Result::unknown(Failure::Connection);
-        let effects = lost.into_iter().map(|id| self.reply(now, id, failed()));
-        effects.flatten().collect()
-    }
-
-    fn finish_if_settled(&mut self, request: id::Request) -> Vec<Effect> {
-        match self.queries.get(&request) {
-            Some(query) if query.is_settled() => self.finish(request),
-            _ => Vec::new(),
-        }
-    }
-
-    fn expire(&mut self, now: Time) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        while let Some((deadline, request)) = self.deadlines.first().copied()
-            && deadline <= now
-        {
-            effects.extend(self.finish(request));
-        }
-        effects
-    }
-
-    fn finish(&mut self, request: id::Request) -> Vec<Effect> {
-        let Some(query) = self.queries.remove(&request) else {
-            return Vec::new();
-        };
-        self.deadlines.remove(&(query.deadline, request));
-        let mut effects = self.cancel_flights(request);
-        let least = query.ask.least_coverage;
-        let answer = query.finish();
-        if answer.coverage.share() < least {
-            let detail = format!("reached {:.4}, asked for {least}", answer.coverage.share());
-            let refusal = Refusal::new(Cause::Coverage, detail);
-            effects.push(Effect::Refuse { request, refusal });
-        } else {
-            effects.push(Effect::Answer { request, answer });
-        }
-        effects
-    }
-
-    fn abandon(&mut self, request: id::Request) -> Vec<Effect> {
-        if let Some(query) = self.queries.remove(&request) {
-            self.deadlines.remove(&(query.deadline, request));
-        }
-        self.cancel_flights(request)
-    }
-
-    /// Cancels what is still under way for a request.
-    fn cancel_flights(&mut self, request: id::Request) -> Vec<Effect> {
-        let gone = self
-            .flights
-            .extract_if(|_, flight| flight.request == request);
-        gone.map(|(id, flight)| Effect::Cancel {
-            to: flight.owner,
-            id,
-        })
-        .collect()
     }
 }
 
-/// What a failure means for a shard's place in the answer.
-fn reason(failure: Failure) -> Reason {
-    match failure {
-        Failure::Refused | Failure::Shed => Reason::Refused,
-        Failure::Cold => Reason::Cold,
-        Failure::SnapshotGone => Reason::SnapshotGone,
-        Failure::Out => Reason::DomainOut,
-        Failure::NotOwner => Reason::NoReplica,
-        Failure::Timeout => Reason::Deadline,
-        Failure::Connection | Failure::Malformed => Reason::Failed,
+/// What makes another query identical to this one.
+fn key(query: &Query) -> Key {
+    Key {
+        service: query.ask.service.clone(),
+        snapshot: query.map.snapshot,
+        body: query.ask.body.clone(),
     }
 }
--- a/crates/lentillift-entry/src/lib.rs
+++ b/crates/lentillift-entry/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod answer;
 pub mod core;
+pub mod flights;
 pub mod plan;
 pub mod query;
--- a/crates/lentillift-entry/src/query.rs
+++ b/crates/lentillift-entry/src/query.rs
@@ -10,6 +10,7 @@
 use lentillift_core::id;
 use lentillift_core::snapshot::Map;
 use lentillift_core::time::Time;
+use std::collections::BTreeSet;
 
 /// Where a query stands with one of its shards.
 #[derive(Debug)]
@@ -25,17 +26,21 @@
     Missing(Reason),
 }
 
-/// A query under way.
+/// A query under way, for one caller or several that asked the same.
 #[derive(Debug)]
 pub struct Query {
-    /// What the caller asked.
+    /// What the first caller asked; the others differ in limit, least coverage and allowance only.
     pub ask: Ask,
+    /// Rank of the best class among its callers.
+    pub rank: u8,
+    /// The callers that wait for it.
+    pub members: BTreeSet<id::Request>,
     /// The map of the snapshot that the query keeps to.
     pub map: Map,
     /// Where it stands with each part of `map`, by position.
     // INVARIANT: As long as `map.parts`.
     pub states: Vec<State>,
-    /// When the answer is put together, complete or not.
+    /// When the last caller's answer is put together, complete or not.
     pub deadline: Time,
 }
 
@@ -45,6 +50,8 @@
         let states = map.parts.iter().map(|_| State::Missing(Reason::NoReplica));
         Self {
             ask,
+            rank: u8::MAX,
+            members: BTreeSet::new(),
             states: states.collect(),
             map,
             deadline,
@@ -59,8 +66,15 @@
             .any(|state| matches!(state, State::Pending { .. }))
     }
 
-    /// Puts the answer together; a shard that is still awaited has missed the deadline.
-    pub fn finish(self) -> Answer {
+    /// Whether a shard is given up.
+    pub fn has_hole(&self) -> bool {
+        let mut states = self.states.iter();
+        states.any(|state| matches!(state, State::Missing(_)))
+    }
+
+    /// Puts an answer of up to `limit` hits together; a shard that is still awaited has missed
+    /// the deadline.
+    pub fn answer(&self, limit: usize) -> Answer {
         let mut coverage = Coverage {
             shards: self.map.parts.len() as u32,
             answered: 0,
@@ -69,16 +83,16 @@
             missing: Vec::new(),
         };
         let mut lists = Vec::with_capacity(self.states.len());
-        for (part, state) in self.map.parts.iter().zip(self.states) {
+        for (part, state) in self.map.parts.iter().zip(&self.states) {
             let reason = match state {
                 State::Answered(hits) => {
                     coverage.answered += 1;
                     coverage.covered += part.weight;
-                    lists.push(hits);
+                    lists.push(hits.clone());
                     continue;
                 }
                 State::Pending { .. } => Reason::Deadline,
-                State::Missing(reason) => reason,
+                State::Missing(reason) => *reason,
             };
             coverage.missing.push(Missing {
                 shard: part.shard,
@@ -89,7 +103,7 @@
         Answer {
             snapshot: self.map.snapshot,
             coverage,
-            hits: hit::merge(lists, self.ask.limit),
+            hits: hit::merge(lists, limit),
         }
     }
 }
--- a/crates/lentillift-node/src/message.rs
+++ b/crates/lentillift-node/src/message.rs
@@ -4,6 +4,7 @@
 use lentillift_core::outcome::Outcome;
 use lentillift_core::sub;
 use lentillift_core::sub::Desk;
+use lentillift_core::sub::Load;
 use lentillift_core::sub::Sub;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
         id: id::Sub,
         /// The result.
         result: sub::Result,
+        /// The backend server's load, if the sender owns it.
+        load: Option<Load>,
     },
     /// An entry passes a request that may run at most once to its home.
     Submit(Submit),
--- a/crates/lentillift-node/src/wire.rs
+++ b/crates/lentillift-node/src/wire.rs
@@ -18,7 +18,7 @@
     /// See [`message::Message::Cancel`].
     Cancel(u64),
     /// See [`message::Message::Result`].
-    Result(Desk, u64, Answer),
+    Result(Desk, u64, Answer, Option<Load>),
     /// See [`message::Message::Submit`].
     Submit(Submit),
     /// See [`message::Message::Settled`].
@@ -35,6 +35,7 @@
     work: Work,
     allowance_us: u64,
     body: Vec<u8>,
+    hedge: bool,
 }
 
 /// See [`sub::Desk`].
@@ -66,6 +67,17 @@
     Failed(Failure, Outcome),
 }
 
+/// See [`sub::Load`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct Load {
+    queued: u32,
+    running: u32,
+    limit: u32,
+    cold: bool,
+    wait_us: u64,
+    run_us: u64,
+}
+
 /// See [`hit::Hit`].
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub struct Hit {
@@ -124,9 +136,12 @@
         match message {
             message::Message::Sub(sub) => Self::Sub(sub.into()),
             message::Message::Cancel(id) => Self::Cancel(id),
-            message::Message::Result { desk, id, result } => {
-                Self::Result(desk.into(), id, result.into())
-            }
+            message::Message::Result {
+                desk,
+                id,
+                result,
+                load,
+            } => Self::Result(desk.into(), id, result.into(), load.map(Load::from)),
             message::Message::Submit(submit) => Self::Submit(submit.into()),
             message::Message::Settled {
                 request,
@@ -144,10 +159,11 @@
         Ok(match message {
             Message::Sub(sub) => Self::Sub(sub.into()),
             Message::Cancel(id) => Self::Cancel(id),
-            Message::Result(desk, id, result) => Self::Result {
+            Message::Result(desk, id, result, load) => Self::Result {
                 desk: desk.into(),
                 id,
                 result: result.try_into()?,
+                load: load.map(sub::Load::from),
             },
             Message::Submit(submit) => Self::Submit(submit.into()),
             Message::Settled(request, outcome, body) => Self::Settled {
@@ -169,6 +185,7 @@
             work: sub.work.into(),
             allowance_us: sub.allowance.as_micros() as u64,
             body: sub.body.to_vec(),
+            hedge: sub.hedge,
         }
     }
 }
@@ -183,6 +200,7 @@
             work: sub.work.into(),
             allowance: Duration::from_micros(sub.allowance_us),
             body: sub.body.into(),
+            hedge: sub.hedge,
         }
     }
 }
@@ -235,6 +253,32 @@
     }
 }
 
+impl From<sub::Load> for Load {
+    fn from(load: sub::Load) -> Self {
+        Self {
+            queued: load.queued,
+            running: load.running,
+            limit: load.limit,
+            cold: load.cold,
+            wait_us: load.wait.as_micros() as u64,
+            run_us: load.run.as_micros() as u64,
+        }
+    }
+}
+
+impl From<Load> for sub::Load {
+    fn from(load: Load) -> Self {
+        Self {
+            queued: load.queued,
+            running: load.running,
+            limit: load.limit,
+            cold: load.cold,
+            wait: Duration::from_micros(load.wait_us),
+            run: Duration::from_micros(load.run_us),
+        }
+    }
+}
+
 impl From<hit::Hit> for Hit {
     fn from(hit: hit::Hit) -> Self {
         Self {
--- a/crates/lentillift-owner/src/core.rs
+++ b/crates/lentillift-owner/src/core.rs
@@ -1,21 +1,31 @@
 //! All backend servers that this process owns.
 
+mod intake;
+mod refit;
+
+use crate::queue::Flight;
 use crate::queue::Waiting;
+use crate::server::Change;
 use crate::server::Server;
 use lentillift_core::id;
 use lentillift_core::sub;
 use lentillift_core::sub::Desk;
 use lentillift_core::sub::Failure;
+use lentillift_core::sub::Load;
 use lentillift_core::sub::Report;
 use lentillift_core::sub::Sub;
 use lentillift_core::time::Time;
 use lentillift_fleet::view::View;
+use lentillift_policy::cost::Costs;
+use lentillift_policy::count::Counts;
+use lentillift_settings::config::Config;
+use lentillift_settings::policy::Policy;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Number of a request on its way to a backend server.
-pub type Ticket = u64;
+pub use lentillift_policy::queue::Ticket;
 
 /// What happens to an owner.
 #[derive(Debug)]
@@ -43,6 +53,8 @@
         /// What the backend server reported with it.
         report: Report,
     },
+    /// Time passed.
+    Tick,
     /// The view of the fleet changed.
     View(Arc<View>),
 }
@@ -76,16 +88,16 @@
         id: id::Sub,
         /// The result.
         result: sub::Result,
+        /// The backend server's load, if it is owned here.
+        load: Option<Load>,
+    },
+    /// Tell operators of a change of state.
+    Note {
+        /// The backend server.
+        backend: id::Backend,
+        /// What changed.
+        change: Change,
     },
-}
-
-/// A request that a backend server has.
-#[derive(Debug)]
-struct Flight {
-    from: id::Host,
-    desk: Desk,
-    id: id::Sub,
-    backend: id::Backend,
 }
 
 /// All backend servers that this process owns.
@@ -93,9 +105,20 @@
 pub struct Owner {
     host: id::Host,
     view: Arc<View>,
+    config: Option<Arc<Config>>,
+    policy: Policy,
+    // INVARIANT: Holds no server that the view does not give to this host, but for those with a
+    // request in flight.
     servers: HashMap<id::Backend, Server>,
+    costs: HashMap<id::Service, Costs>,
     flights: HashMap<Ticket, Flight>,
+    /// Queries' sub-requests that wait, by backend server, or are in flight.
+    // INVARIANT: As long as the sub-requests that wait or are in flight, at most.
+    tickets: HashMap<(id::Host, id::Sub), (Ticket, id::Backend)>,
+    /// When queues next want attention.
+    wakes: BTreeSet<(Time, id::Backend)>,
     next_ticket: Ticket,
+    counts: Counts,
 }
 
 impl Owner {
@@ -104,9 +127,15 @@
         Self {
             host,
             view: Arc::default(),
+            config: None,
+            policy: Policy::default(),
             servers: HashMap::new(),
+            costs: HashMap::new(),
             flights: HashMap::new(),
+            tickets: HashMap::new(),
+            wakes: BTreeSet::new(),
             next_ticket: 0,
+            counts: Counts::default(),
         }
     }
 
@@ -114,99 +143,116 @@
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         match event {
             Event::Sub { from, sub } => self.accept(now, from, sub),
-            Event::Cancel { from, id } => self.cancel(&from, id),
+            Event::Cancel { from, id } => self.cancel(now, from, id),
             Event::Done {
                 ticket,
                 result,
                 report,
-            } => self.done(now, ticket, result, &report),
-            Event::View(view) => {
-                self.view = view;
-                Vec::new()
-            }
+            } => self.done(now, ticket, &result, &report),
+            Event::Tick => self.tick(now),
+            Event::View(view) => self.refit(now, view),
         }
     }
 
+    /// When [`Event::Tick`] is next due.
+    pub fn next_wake(&self) -> Option<Time> {
+        self.wakes.first().map(|(time, _)| *time)
+    }
+
     /// The servers and their state, for operators.
     pub fn servers(&self) -> impl Iterator<Item = (&id::Backend, &Server)> {
         self.servers.iter()
     }
 
+    /// Counts of decisions since they were last taken.
+    pub fn counts(&mut self) -> &mut Counts {
+        &mut self.counts
+    }
+
     fn accept(&mut self, now: Time, from: id::Host, sub: Sub) -> Vec<Effect> {
-        if let Some(failure) = self.objection(&sub) {
-            return vec![Effect::Reply {
-                to: from,
-                desk: sub.work.desk(),
-                id: sub.id,
-                result: sub::Result::not_run(failure),
-            }];
-        }
-        let backend = sub.backend.clone();
         let deadline = now + sub.allowance;
         let waiting = Waiting {
             from,
             sub,
             deadline,
         };
-        self.server(&backend).queue.push(waiting);
-        self.pump(now, &backend)
-    }
-
-    /// Why a sub-request can't be taken at all.
-    fn objection(&self, sub: &Sub) -> Option<Failure> {
-        if self.view.owner(&sub.backend) != Some(&self.host) {
-            return Some(Failure::NotOwner);
+        let Some(service) = self.service(&waiting.sub) else {
+            return vec![self.refuse(now, waiting, Failure::NotOwner)];
+        };
+        let backend = waiting.sub.backend.clone();
+        let fresh = || Server::new(&self.policy, &service);
+        self.servers.entry(backend.clone()).or_insert_with(fresh);
+        if let Some(failure) = self.objection(now, &waiting.sub) {
+            return vec![self.refuse(now, waiting, failure)];
         }
-        if !self.view.in_service(&sub.backend) {
-            return Some(Failure::Out);
+        if waiting.sub.hedge && !self.takes_hedge(now, &backend) {
+            return vec![self.refuse(now, waiting, Failure::Refused)];
         }
-        None
+        let job = self.job(now, &service, &waiting);
+        if let Some(failure) = self.is_hopeless(now, &service, &waiting, &job) {
+            return vec![self.refuse(now, waiting, failure)];
+        }
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        if waiting.sub.work.desk() == Desk::Query {
+            let key = (waiting.from.clone(), waiting.sub.id);
+            self.tickets.insert(key, (ticket, backend.clone()));
+        }
+        if let Some(server) = self.servers.get_mut(&backend) {
+            server.queue.push(ticket, job, waiting);
+        }
+        self.pump(now, &backend)
     }
 
-    fn server(&mut self, backend: &id::Backend) -> &mut Server {
-        let view = &self.view;
-        self.servers.entry(backend.clone()).or_insert_with(|| {
-            let service = view
-                .backends
-                .get(backend)
-                .and_then(|known| view.values.config.as_ref()?.services.get(&known.service));
-            service.map_or_else(Server::unknown, Server::new)
-        })
+    /// Drops the note under which a sub-request can be cancelled.
+    fn forget(&mut self, from: &id::Host, id: id::Sub, desk: Desk, ticket: Option<Ticket>) {
+        let key = (from.clone(), id);
+        let known = self.tickets.get(&key).map(|(ticket, _)| *ticket);
+        if desk == Desk::Query && (ticket.is_none() || ticket == known) {
+            self.tickets.remove(&key);
+        }
     }
 
-    /// Sends what waits for `backend` as far as its limit allows.
+    /// Drops what waits in vain for `backend`, and sends what its limits allow.
     fn pump(&mut self, now: Time, backend: &id::Backend) -> Vec<Effect> {
         let mut effects = Vec::new();
-        while self.server(backend).has_room()
-            && let Some(waiting) = self.server(backend).queue.pop()
+        while let Some(server) = self.servers.get_mut(backend)
+            && let Some((_, waiting)) = server.queue.pop_expired(now)
+        {
+            effects.push(self.refuse(now, waiting, Failure::Refused));
+        }
+        while let Some(server) = self.servers.get_mut(backend)
+            && server.has_room(&self.policy, now)
+            && let Some((ticket, job, waiting)) =
+                server.queue.pop(server.takes_long(&self.policy, now))
         {
-            effects.push(self.send(now, backend, waiting));
+            effects.push(self.send(now, ticket, job.long, waiting));
         }
+        self.set_wake(backend);
         effects
     }
 
-    fn send(&mut self, now: Time, backend: &id::Backend, waiting: Waiting) -> Effect {
+    fn send(&mut self, now: Time, ticket: Ticket, long: bool, waiting: Waiting) -> Effect {
+        // Asked again at the dispatch: the domain may have been taken out while it waited.
         let failure = match waiting.deadline <= now {
             true => Some(Failure::Refused),
-            // Asked again at the dispatch: the domain may have been taken out while it waited.
-            false => self.objection(&waiting.sub),
+            false => self.objection(now, &waiting.sub),
         };
         if let Some(failure) = failure {
-            return Effect::Reply {
-                to: waiting.from,
-                desk: waiting.sub.work.desk(),
-                id: waiting.sub.id,
-                result: sub::Result::not_run(failure),
-            };
+            return self.refuse(now, waiting, failure);
+        }
+        if let Some(server) = self.servers.get_mut(&waiting.sub.backend) {
+            server.sent(ticket, now, long);
         }
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        self.server(backend).in_flight += 1;
         let flight = Flight {
             from: waiting.from,
             desk: waiting.sub.work.desk(),
             id: waiting.sub.id,
-            backend: backend.clone(),
+            backend: waiting.sub.backend.clone(),
+            caller: waiting.sub.caller.clone(),
+            since: now,
+            long,
+            cancelled: false,
         };
         self.flights.insert(ticket, flight);
         Effect::Dispatch {
@@ -216,56 +262,133 @@
         }
     }
 
-    fn cancel(&mut self, from: &id::Host, id: id::Sub) -> Vec<Effect> {
-        for server in self.servers.values_mut() {
-            if server.queue.remove(from, id).is_some() {
-                return Vec::new();
-            }
+    fn cancel(&mut self, now: Time, from: id::Host, id: id::Sub) -> Vec<Effect> {
+        let Some((ticket, backend)) = self.tickets.remove(&(from, id)) else {
+            return Vec::new();
+        };
+        if let Some(flight) = self.flights.get_mut(&ticket) {
+            flight.cancelled = true;
+            return vec![Effect::Cancel { ticket, backend }];
         }
-        let flying = self
-            .flights
-            .iter()
-            .find(|(_, flight)| flight.from == *from && flight.id == id);
-        flying
-            .map(|(ticket, flight)| Effect::Cancel {
-                ticket: *ticket,
-                backend: flight.backend.clone(),
-            })
-            .into_iter()
-            .collect()
+        if let Some(server) = self.servers.get_mut(&backend) {
+            server.queue.remove(ticket);
+        }
+        self.pump(now, &backend)
     }
 
     fn done(
         &mut self,
         now: Time,
         ticket: Ticket,
-        result: sub::Result,
+        result: &sub::Result,
         report: &Report,
     ) -> Vec<Effect> {
         let Some(flight) = self.flights.remove(&ticket) else {
             return Vec::new();
         };
         let backend = flight.backend.clone();
-        let server = self.server(&backend);
-        server.in_flight -= 1;
-        match &result {
-            sub::Result::Hits(_) | sub::Result::Reply(_) if !report.cold => {
-                server.warmup.success();
-            }
-            sub::Result::Failed {
-                failure: Failure::Connection,
-                ..
-            } => server.warmup.chill(),
-            _ if report.cold => server.warmup.chill(),
-            _ => {}
+        self.forget(&flight.from, flight.id, flight.desk, Some(ticket));
+        self.note_cost(now, &flight, result);
+        let mut effects = Vec::new();
+        if timed_out(result) && !flight.cancelled {
+            // The server may go on with it, for nobody.
+            let backend = backend.clone();
+            effects.push(Effect::Cancel { ticket, backend });
         }
-        let mut effects = vec![Effect::Reply {
+        if let Some(server) = self.servers.get_mut(&backend) {
+            let changes = server.done(&self.policy, now, ticket, &flight, result, report);
+            effects.extend(self.tell(&backend, changes));
+        }
+        effects.push(Effect::Reply {
             to: flight.from,
             desk: flight.desk,
             id: flight.id,
-            result,
-        }];
+            result: result.clone(),
+            load: self.load(now, &backend, &flight.caller),
+        });
+        effects.extend(self.turn_away(now, &backend));
         effects.extend(self.pump(now, &backend));
+        self.drop_if_lost(&backend);
+        effects
+    }
+
+    fn note_cost(&mut self, now: Time, flight: &Flight, result: &sub::Result) {
+        let ran = matches!(result, sub::Result::Hits(_) | sub::Result::Reply(_));
+        if let Some(known) = self.view.backends.get(&flight.backend)
+            && ran
+            && !flight.cancelled
+        {
+            let costs = self.costs.entry(known.service.clone()).or_default();
+            costs.note(&flight.caller, now.saturating_sub(flight.since));
+        }
+    }
+
+    fn tell(&mut self, backend: &id::Backend, changes: Vec<Change>) -> Vec<Effect> {
+        let note = |change: Change| {
+            self.counts.add(change.counter());
+            Effect::Note {
+                backend: backend.clone(),
+                change,
+            }
+        };
+        changes.into_iter().map(note).collect()
+    }
+
+    /// Answers all that waits for a server that may get no new work.
+    ///
+    /// Were it left waiting, it would be told so only when its time is up, too late for another
+    /// replica.
+    fn turn_away(&mut self, now: Time, backend: &id::Backend) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        while let Some(server) = self.servers.get_mut(backend)
+            && server.limit(&self.policy, now) == 0
+            && let Some((_, _, waiting)) = server.queue.pop(true)
+        {
+            let failure = self.objection(now, &waiting.sub);
+            effects.push(self.refuse(now, waiting, failure.unwrap_or(Failure::Refused)));
+        }
         effects
     }
+
+    fn tick(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        while let Some((time, _)) = self.wakes.first()
+            && *time <= now
+            && let Some((_, backend)) = self.wakes.pop_first()
+        {
+            if let Some(server) = self.servers.get_mut(&backend) {
+                server.wake = None;
+            }
+            effects.extend(self.pump(now, &backend));
+        }
+        effects
+    }
+
+    /// Notes when the queue of `backend` next wants attention.
+    fn set_wake(&mut self, backend: &id::Backend) {
+        let Some(server) = self.servers.get_mut(backend) else {
+            return;
+        };
+        let next = server.queue.next_expiry();
+        if server.wake == next {
+            return;
+        }
+        if let Some(old) = std::mem::replace(&mut server.wake, next) {
+            self.wakes.remove(&(old, backend.clone()));
+        }
+        if let Some(next) = next {
+            self.wakes.insert((next, backend.clone()));
+        }
+    }
+}
+
+/// Whether a reply did not come in time.
+fn timed_out(result: &sub::Result) -> bool {
+    matches!(
+        result,
+        sub::Result::Failed {
+            failure: Failure::Timeout,
+            ..
+        }
+    )
 }
--- /dev/null
+++ b/crates/lentillift-owner/src/core/refit.rs
@@ -0,0 +1,71 @@
+//! What a new view changes.
+
+use super::Effect;
+use super::Owner;
+use crate::server::Server;
+use lentillift_core::id;
+use lentillift_core::sub::Failure;
+use lentillift_core::time::Time;
+use lentillift_fleet::view::View;
+use lentillift_settings::policy::Policy;
+use std::sync::Arc;
+
+impl Owner {
+    /// Takes in a new view, answers what it leaves without a server, and drops servers that are
+    /// no longer owned; one that comes back later is cold.
+    pub(super) fn refit(&mut self, now: Time, view: Arc<View>) -> Vec<Effect> {
+        self.view = view;
+        self.config = self.view.values.config.clone();
+        self.policy = self
+            .config
+            .as_ref()
+            .map_or_else(Policy::default, |config| config.policy.clone());
+        let mut effects = Vec::new();
+        let names: Vec<id::Backend> = self.servers.keys().cloned().collect();
+        for backend in names {
+            effects.extend(self.refit_server(now, &backend));
+        }
+        let placements = &self.view.values.placements;
+        self.costs
+            .retain(|service, _| placements.contains_key(service));
+        effects
+    }
+
+    fn refit_server(&mut self, now: Time, backend: &id::Backend) -> Vec<Effect> {
+        let owned = self.view.owner(backend) == Some(&self.host);
+        let known = self.view.backends.get(backend);
+        let service = known.and_then(|known| {
+            let config = self.config.as_ref()?;
+            config.services.get(&known.service)
+        });
+        let Some(server) = self.servers.get_mut(backend) else {
+            return Vec::new();
+        };
+        if let Some(service) = service {
+            server.configure(&self.policy, service);
+        }
+        let mut effects = Vec::new();
+        if !owned || service.is_none() || !self.view.in_service(backend) {
+            let mut waiting = Vec::new();
+            while let Some((_, _, next)) = server.queue.pop(true) {
+                waiting.push(next);
+            }
+            for waiting in waiting {
+                let failure = self.objection(now, &waiting.sub);
+                effects.push(self.refuse(now, waiting, failure.unwrap_or(Failure::NotOwner)));
+            }
+        }
+        self.set_wake(backend);
+        effects.extend(self.pump(now, backend));
+        self.drop_if_lost(backend);
+        effects
+    }
+
+    /// Drops a server that is not owned here any more, once nothing of it is in flight.
+    pub(super) fn drop_if_lost(&mut self, backend: &id::Backend) {
+        let owned = self.view.owner(backend) == Some(&self.host);
+        if !owned && self.servers.get(backend).is_some_and(Server::is_idle) {
+            self.servers.remove(backend);
+        }
+    }
+}
--- a/crates/lentillift-settings/src/config.rs
+++ b/crates/lentillift-settings/src/config.rs
@@ -1,5 +1,6 @@
 //! The published configuration that all processes share.
 
+use crate::policy::Policy;
 use lentillift_core::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -81,6 +82,9 @@
     pub least_allowance_ms: u64,
     /// Largest time allowance that a caller may state, in milliseconds.
     pub most_allowance_ms: u64,
+    /// Figures of the decisions under load.
+    #[serde(default)]
+    pub policy: Policy,
 }
 
 impl Config {
@@ -91,6 +95,12 @@
         (least..=most).contains(&allowance)
     }
 
+    /// The priority class of a caller's requests to a service.
+    pub fn class(&self, service: &Service, caller: &str) -> Option<&Class> {
+        let name = self.policy.classes.get(caller).unwrap_or(&service.class);
+        self.classes.get(name)
+    }
+
     /// All that makes the configuration unfit to be in force.
     pub fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
@@ -118,6 +128,12 @@
                 faults.push(format!("domains_out: no failure domain `{domain}`"));
             }
         }
+        for (caller, class) in &self.policy.classes {
+            if !self.classes.contains_key(class) {
+                faults.push(format!("policy.classes.{caller}: no class `{class}`"));
+            }
+        }
+        faults.extend(self.policy.faults());
         if self.least_allowance_ms > self.most_allowance_ms {
             faults.push("least_allowance_ms: above most_allowance_ms".to_owned());
         }
--- a/crates/lentillift-settings/src/lib.rs
+++ b/crates/lentillift-settings/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod daemon;
 pub mod jsonc;
 pub mod placement;
+pub mod policy;
 pub mod roster;
--- a/crates/lentillift/src/demo/fleet.rs
+++ b/crates/lentillift/src/demo/fleet.rs
@@ -203,5 +203,6 @@
         .into(),
         least_allowance_ms: 10,
         most_allowance_ms: 10_000,
+        policy: Default::default(),
     }
 }
--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -100,7 +100,13 @@
         };
         tokio::spawn(peers::sort(inbound, desks));
 
-        let entry = entry::Task::new(rng(incarnation), clock, peers.clone(), board.clone());
+        let entry = entry::Task::new(
+            settings.domain.clone(),
+            rng(incarnation),
+            clock,
+            peers.clone(),
+            board.clone(),
+        );
         tokio::spawn(entry.run(for_entry, seen.clone()));
 
         let home = Home::new(
--- a/crates/lentilliftd/src/entry.rs
+++ b/crates/lentilliftd/src/entry.rs
@@ -5,6 +5,7 @@
 use lentillift_core::id;
 use lentillift_core::refusal::Refusal;
 use lentillift_core::sub;
+use lentillift_core::sub::Load;
 use lentillift_core::time::Clock;
 use lentillift_entry::answer::Answer;
 use lentillift_entry::core::Effect;
@@ -32,6 +33,8 @@
         id: id::Sub,
         /// The result.
         result: sub::Result,
+        /// The backend server's load, if its owner told it.
+        load: Option<Load>,
     },
     /// The link to a host ended.
     Down(id::Host),
@@ -57,9 +60,9 @@
 
 impl Task {
     /// Makes the task; nothing is served yet.
-    pub fn new(rng: StdRng, clock: Clock, peers: Peers, board: Board) -> Self {
+    pub fn new(domain: id::Domain, rng: StdRng, clock: Clock, peers: Peers, board: Board) -> Self {
         Self {
-            entry: Entry::new(rng),
+            entry: Entry::new(rng).near(domain),
             waiting: HashMap::new(),
             clock,
             peers,
@@ -89,6 +92,7 @@
             if let Some(event) = event {
                 let effects = self.entry.handle(self.clock.now(), event);
                 self.carry_out(effects).await;
+                self.board_counts();
             }
         }
     }
@@ -113,11 +117,17 @@
                 Some(Event::Gone { request })
             }
             Mail::Call(Call::Issue { .. } | Call::Action { .. }) => None,
-            Mail::Result { id, result } => Some(Event::Reply { id, result }),
+            Mail::Result { id, result, load } => Some(Event::Reply { id, result, load }),
             Mail::Down(host) => Some(Event::Down { host }),
         }
     }
 
+    fn board_counts(&mut self) {
+        for (name, count) in self.entry.counts().take() {
+            self.board.add(name, &[], count);
+        }
+    }
+
     async fn carry_out(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
@@ -154,7 +164,7 @@
 }
 
 /// Waits until `wake`, or forever when there is none.
-async fn until(clock: Clock, wake: Option<Duration>) {
+pub(crate) async fn until(clock: Clock, wake: Option<Duration>) {
     match wake {
         Some(wake) => tokio::time::sleep(wake.saturating_sub(clock.now())).await,
         None => std::future::pending().await,
--- a/crates/lentilliftd/src/once.rs
+++ b/crates/lentilliftd/src/once.rs
@@ -284,6 +284,7 @@
             },
             allowance: submit.allowance,
             body: submit.body.into(),
+            hedge: false,
         };
         let flight = Flight {
             number: key.number,
--- a/crates/lentilliftd/src/owner.rs
+++ b/crates/lentilliftd/src/owner.rs
@@ -1,5 +1,6 @@
 //! The task that owns backend servers.
 
+use crate::entry::until;
 use crate::peers::Peers;
 use lentillift_backend::client;
 use lentillift_backend::client::Client;
@@ -89,6 +90,7 @@
         mut view: watch::Receiver<Arc<View>>,
     ) {
         loop {
+            let wake = self.owner.next_wake();
             let event = tokio::select! {
                 received = mail.recv() => match received {
                     Some(received) => open(received),
@@ -101,11 +103,15 @@
                     }
                     Err(_) => return,
                 },
+                () = until(self.clock, wake) => Event::Tick,
             };
             let effects = self.owner.handle(self.clock.now(), event);
             for effect in effects {
                 self.carry_out(effect).await;
             }
+            for (name, count) in self.owner.counts().take() {
+                self.board.add(name, &[], count);
+            }
         }
     }
 
@@ -122,10 +128,19 @@
                 desk,
                 id,
                 result,
+                load,
             } => {
-                let message = Message::Result { desk, id, result };
+                let message = Message::Result {
+                    desk,
+                    id,
+                    result,
+                    load,
+                };
                 self.peers.send(&to, message).await;
             }
+            Effect::Note { backend, change } => {
+                self.board.event("backend", &backend, change.to_string());
+            }
         }
     }
 
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -4,6 +4,7 @@
 use lentillift_core::sub;
 use lentillift_core::sub::Desk;
 use lentillift_core::sub::Failure;
+use lentillift_core::sub::Load;
 use lentillift_fleet::view::View;
 use lentillift_node::hub;
 use lentillift_node::hub::Inbound;
@@ -109,7 +110,12 @@
             Message::Cancel(id) => {
                 let _ = self.owner.send(owner::Mail::Cancel { from, id }).await;
             }
-            Message::Result { desk, id, result } => self.result(desk, id, result).await,
+            Message::Result {
+                desk,
+                id,
+                result,
+                load,
+            } => self.result(desk, id, result, load).await,
             Message::Submit(submit) => {
                 let _ = self.once.send(once::Mail::Submit { from, submit }).await;
             }
@@ -133,7 +139,7 @@
         match message {
             Message::Sub(sub) => {
                 let result = sub::Result::not_run(Failure::Connection);
-                self.result(sub.work.desk(), sub.id, result).await;
+                self.result(sub.work.desk(), sub.id, result, None).await;
             }
             Message::Submit(submit) => {
                 let _ = self.once.send(once::Mail::Undelivered(submit)).await;
@@ -143,10 +149,11 @@
         }
     }
 
-    async fn result(&self, desk: Desk, id: id::Sub, result: sub::Result) {
+    async fn result(&self, desk: Desk, id: id::Sub, result: sub::Result, load: Option<Load>) {
         match desk {
             Desk::Query => {
-                let _ = self.entry.send(entry::Mail::Result { id, result }).await;
+                let result = entry::Mail::Result { id, result, load };
+                let _ = self.entry.send(result).await;
             }
             Desk::Once => {
                 let _ = self.once.send(once::Mail::Result { id, result }).await;
