Prove what is said of a request to a backend server

Cause: the classification read the client library's errors, which do not say whether a byte had left: a call that timed out while it connected was "unknown", and nothing showed that the library never sends again on a kept connection. Each process numbers its requests from 1, so a cancellation could end the request of another process. A 410 to an action counted as "not run".

Change: connections note the first write; no write is "not run", all else "unknown". A refusal of a cold server is reported as cold.

Tested: cargo test -p lentillift-backend, 18 cases against a server that ends connections before, in and after the request and in the reply and counts whole requests; the library does not send again on a kept connection.

Conclusion: ureq stays.

--- a/crates/lentillift-backend/src/client.rs
+++ b/crates/lentillift-backend/src/client.rs
@@ -1,16 +1,20 @@
 //! Sending requests to one backend server.
 
+use crate::connect;
+use crate::connect::Watching;
 use crate::reply;
-use lentillift_core::outcome::Outcome;
 use lentillift_core::sub;
 use lentillift_core::sub::Failure;
 use lentillift_core::sub::Report;
 use lentillift_core::sub::Sub;
 use lentillift_core::sub::Work;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use ureq::Agent;
+use ureq::Timeout;
 use ureq::http::Response;
+use ureq::unversioned::resolver::DefaultResolver;
 
 /// Time after which a cancellation that was not taken is given up.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(200);
@@ -41,11 +45,17 @@
 pub struct Client {
     agent: Agent,
     address: SocketAddr,
+    /// Stands before each ticket.
+    ///
+    /// Tickets are numbers of one process. Without this the cancellation of one process's request
+    /// would end another process's request with the same number, and a shard would be missing.
+    sender: Arc<str>,
 }
 
 impl Client {
-    /// Makes a client; nothing is sent yet.
-    pub fn new(address: SocketAddr, options: &Options) -> Self {
+    /// Makes a client; nothing is sent yet. `sender` differs between all processes that may send
+    /// to the same backend server, and between starts of each.
+    pub fn new(address: SocketAddr, sender: &str, options: &Options) -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .max_redirects(0)
@@ -56,8 +66,9 @@
             .timeout_connect(Some(options.connect_timeout))
             .build();
         Self {
-            agent: config.into(),
+            agent: Agent::with_parts(config, Watching::default(), DefaultResolver::default()),
             address,
+            sender: sender.chars().map(safe).collect::<String>().into(),
         }
     }
 
@@ -71,7 +82,7 @@
             .agent
             .post(format!("http://{}/v1/{path}", self.address))
             .header("content-type", "application/json")
-            .header("x-request-id", ticket.to_string())
+            .header("x-request-id", format!("{}-{ticket}", self.sender))
             .header("x-deadline-ms", left.as_millis().to_string());
         request = match &sub.work {
             Work::Search { snapshot, shard } => request
@@ -80,12 +91,13 @@
             Work::Action { key } => request.header("idempotency-key", &**key),
         };
         let request = request.config().timeout_global(Some(left)).build();
-        match request.send(&*sub.body) {
+        let (sent, written) = connect::watch(|| request.send(&*sub.body));
+        match sent {
             Ok(mut response) => {
                 let report = report(&response);
-                (result(&mut response, &sub.work), report)
+                (result(&mut response, &sub.work, &report), report)
             }
-            Err(error) => (failed(&error), Report::default()),
+            Err(error) => (failed(&error, written), Report::default()),
         }
     }
 
@@ -93,7 +105,10 @@
     pub fn cancel(&self, ticket: u64) {
         let request = self
             .agent
-            .delete(format!("http://{}/v1/requests/{ticket}", self.address))
+            .delete(format!(
+                "http://{}/v1/requests/{}-{ticket}",
+                self.address, self.sender
+            ))
             .config()
             .timeout_global(Some(CANCEL_TIMEOUT))
             .build();
@@ -102,27 +117,41 @@
     }
 }
 
+/// A character that may stand in a path and in a header.
+fn safe(character: char) -> char {
+    match character {
+        'a'..='z' | 'A'..='Z' | '0'..='9' | '-' | '.' | '_' => character,
+        _ => '_',
+    }
+}
+
 fn report(response: &Response<ureq::Body>) -> Report {
     let header = |name| response.headers().get(name)?.to_str().ok();
     let state = header("x-state");
+    let load = header("x-load").and_then(|load| load.parse().ok());
     Report {
-        load: header("x-load").and_then(|load| load.parse().ok()),
+        load: load.filter(|load: &f64| load.is_finite() && *load >= 0.0),
         draining: state == Some("draining"),
         cold: state == Some("cold"),
     }
 }
 
-fn result(response: &mut Response<ureq::Body>, work: &Work) -> sub::Result {
-    match response.status().as_u16() {
-        200 => {}
-        410 => return sub::Result::not_run(Failure::SnapshotGone),
-        503 if is_not_run(response) => return sub::Result::not_run(Failure::Shed),
-        504 => return sub::Result::unknown(Failure::Timeout),
+fn result(response: &mut Response<ureq::Body>, work: &Work, report: &Report) -> sub::Result {
+    match (response.status().as_u16(), work) {
+        (200, _) => {}
+        (410, Work::Search { .. }) => return sub::Result::not_run(Failure::SnapshotGone),
+        _ if is_not_run(response) && report.cold => return sub::Result::not_run(Failure::Cold),
+        _ if is_not_run(response) => return sub::Result::not_run(Failure::Shed),
+        (503, _) => return sub::Result::unknown(Failure::Shed),
+        (504, _) => return sub::Result::unknown(Failure::Timeout),
         _ => return sub::Result::unknown(Failure::Malformed),
     }
     let body = response.body_mut().with_config().limit(reply::BODY_LIMIT);
-    let Ok(body) = body.read_to_vec() else {
-        return sub::Result::unknown(Failure::Malformed);
+    let body = match body.read_to_vec() {
+        Ok(body) => body,
+        Err(ureq::Error::Timeout(_)) => return sub::Result::unknown(Failure::Timeout),
+        Err(ureq::Error::Io(_)) => return sub::Result::unknown(Failure::Connection),
+        Err(_) => return sub::Result::unknown(Failure::Malformed),
     };
     match work {
         Work::Action { .. } => sub::Result::Reply(body),
@@ -141,21 +170,15 @@
         .is_some_and(|outcome| outcome == "not-run")
 }
 
-/// What an error of the client library means.
-///
-/// Only an error of opening the connection proves that no byte was written.
-fn failed(error: &ureq::Error) -> sub::Result {
-    let outcome = match error {
-        ureq::Error::Timeout(ureq::Timeout::Connect) | ureq::Error::ConnectionFailed => {
-            Outcome::NotRun
-        }
-        ureq::Error::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => Outcome::NotRun,
-        _ => Outcome::Unknown,
-    };
+/// What an error of the client library means; `written` is whether any byte may have left.
+fn failed(error: &ureq::Error, written: bool) -> sub::Result {
     let failure = match error {
-        ureq::Error::Timeout(ureq::Timeout::Connect) => Failure::Connection,
+        ureq::Error::Timeout(Timeout::Connect) => Failure::Connection,
         ureq::Error::Timeout(_) => Failure::Timeout,
         _ => Failure::Connection,
     };
-    sub::Result::Failed { failure, outcome }
+    match written {
+        true => sub::Result::unknown(failure),
+        false => sub::Result::not_run(failure),
+    }
 }
--- a/crates/lentillift-backend/src/lib.rs
+++ b/crates/lentillift-backend/src/lib.rs
@@ -3,4 +3,5 @@
 #![forbid(unsafe_code)]
 
 pub mod client;
+mod connect;
 pub mod reply;
--- a/crates/lentilliftd/src/owner.rs
+++ b/crates/lentilliftd/src/owner.rs
@@ -163,7 +163,7 @@
             connections: service.connections as usize,
             ..client::Options::default()
         };
-        let client = Client::new(address, &options);
+        let client = Client::new(address, &self.peers.sender(), &options);
         self.clients
             .insert(backend.clone(), (address, client.clone()));
         Some(client)
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// A name that differs between all processes, and between starts of each.
+    pub fn sender(&self) -> String {
+        format!("{}.{:x}", self.peer.host, self.peer.incarnation)
+    }
+
     /// Sends a message; what can't be sent comes back as undelivered.
     pub async fn send(&self, to: &id::Host, message: Message) {
         if *to == self.me {
