--- a/crates/lentillift-backend/src/client.rs
+++ b/crates/lentillift-backend/src/client.rs
@@ -133,6 +133,7 @@
         load: load.filter(|load: &f64| load.is_finite() && *load >= 0.0),
         draining: state == Some("draining"),
         cold: state == Some("cold"),
+        incarnation: header("x-incarnation").and_then(|number| number.parse().ok()),
     }
 }
 
--- a/crates/lentillift-backend/tests/contract.rs
+++ b/crates/lentillift-backend/tests/contract.rs
@@ -119,6 +119,7 @@
         work: Work::Action { key: "k".into() },
         allowance: Duration::from_secs(5),
         body: (*b"{}").into(),
+        hedge: false,
     }
 }
 
--- a/crates/lentillift-node/src/message.rs
+++ b/crates/lentillift-node/src/message.rs
@@ -3,6 +3,7 @@
 use lentillift_core::id;
 use lentillift_core::sub;
 use lentillift_core::sub::Desk;
+use lentillift_core::sub::Load;
 use lentillift_core::sub::Sub;
 use lentillift_once::record::Parcel;
 use lentillift_once::submit::Settled;
@@ -23,6 +24,8 @@
         id: id::Sub,
         /// The result.
         result: sub::Result,
+        /// The backend server's load, if the sender owns it.
+        load: Option<Load>,
     },
     /// An entry passes a request that may run at most once to its home.
     Submit {
--- a/crates/lentillift-once/src/flight.rs
+++ b/crates/lentillift-once/src/flight.rs
@@ -184,6 +184,7 @@
             },
             allowance: by.saturating_sub(now),
             body: submit.body.clone(),
+            hedge: false,
         };
         Effect::Send { to: owner, sub }
     }
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -4,6 +4,7 @@
 use lentillift_core::sub;
 use lentillift_core::sub::Desk;
 use lentillift_core::sub::Failure;
+use lentillift_core::sub::Load;
 use lentillift_fleet::view::View;
 use lentillift_node::hub;
 use lentillift_node::hub::Inbound;
@@ -114,7 +115,12 @@
             Message::Cancel(id) => {
                 let _ = self.owner.send(owner::Mail::Cancel { from, id }).await;
             }
-            Message::Result { desk, id, result } => self.result(desk, id, result).await,
+            Message::Result {
+                desk,
+                id,
+                result,
+                load,
+            } => self.result(desk, id, result, load).await,
             Message::Submit { request, submit } => {
                 let event = once::Event::Submit {
                     from,
@@ -148,7 +154,7 @@
         match message {
             Message::Sub(sub) => {
                 let result = sub::Result::not_run(Failure::Connection);
-                self.result(sub.work.desk(), sub.id, result).await;
+                self.result(sub.work.desk(), sub.id, result, None).await;
             }
             Message::Submit { request, .. } => {
                 self.once(once::Event::Undelivered { request }).await;
@@ -163,10 +169,11 @@
         }
     }
 
-    async fn result(&self, desk: Desk, id: id::Sub, result: sub::Result) {
+    async fn result(&self, desk: Desk, id: id::Sub, result: sub::Result, load: Option<Load>) {
         match desk {
             Desk::Query => {
-                let _ = self.entry.send(entry::Mail::Result { id, result }).await;
+                let result = entry::Mail::Result { id, result, load };
+                let _ = self.entry.send(result).await;
             }
             Desk::Once => {
                 self.once(once::Event::Result { id, result }).await;
