--- a/crates/lentillift-caller/src/render.rs
+++ b/crates/lentillift-caller/src/render.rs
@@ -15,17 +15,26 @@
 use lentillift_once::submit::Settled;
 use serde::Serialize;
 use serde_json::value::RawValue;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Header with the share of the data that an answer covers.
 pub const COVERAGE: &str = "x-coverage";
 
+/// Header that says whether all shards are in an answer.
+pub const COMPLETE: &str = "x-complete";
+
+/// Header with the number of missing shards for each reason, such as `deadline=2,cold=1`.
+pub const MISSING: &str = "x-missing";
+
 /// Header that says whether a request ran.
 pub const OUTCOME: &str = "x-outcome";
 
 #[derive(Serialize)]
 struct Body<'a> {
     snapshot: id::Snapshot,
+    /// Whether no shard is missing: what tells "no such notice" from "not all was searched".
+    complete: bool,
     share: f64,
     coverage: &'a Coverage,
     hits: Vec<&'a RawValue>,
@@ -42,31 +51,41 @@
 
 /// An answer to a query.
 pub fn answer(answer: &Answer) -> Response<Bytes> {
-    let share = answer.coverage.share();
+    let coverage = &answer.coverage;
     let hits = answer.hits.iter();
     let body = Body {
         snapshot: answer.snapshot,
-        share,
-        coverage: &answer.coverage,
+        complete: coverage.is_full(),
+        share: coverage.share(),
+        coverage,
         hits: hits
             .filter_map(|hit| serde_json::from_str(&hit.json).ok())
             .collect(),
     };
     let body = serde_json::to_vec(&body).unwrap_or_default();
     let mut response = json(StatusCode::OK, body);
-    insert(&mut response, COVERAGE, &format!("{share:.6}"));
+    insert(&mut response, COVERAGE, &coverage.to_string());
+    insert(&mut response, COMPLETE, &coverage.is_full().to_string());
+    insert(&mut response, MISSING, &missing(coverage));
     insert(&mut response, "x-snapshot", &answer.snapshot.to_string());
     insert(&mut response, OUTCOME, "done");
     response
 }
 
+/// How many shards are missing for each reason; empty when none is.
+fn missing(coverage: &Coverage) -> String {
+    let mut reasons = BTreeMap::<_, u32>::new();
+    for missing in &coverage.missing {
+        *reasons.entry(missing.reason).or_default() += 1;
+    }
+    let reasons = reasons.into_iter();
+    let reasons = reasons.map(|(reason, count)| format!("{reason}={count}"));
+    reasons.collect::<Vec<_>>().join(",")
+}
+
 /// A refusal.
 pub fn refusal(refusal: &Refusal) -> Response<Bytes> {
-    // A query that was refused for its coverage did run on some backend servers.
-    let outcome = match refusal.cause {
-        Cause::Coverage => Outcome::Done,
-        _ => Outcome::NotRun,
-    };
+    let outcome = refusal.outcome;
     let problem = Problem {
         outcome,
         cause: refusal.cause,
--- a/crates/lentillift-caller/src/server.rs
+++ b/crates/lentillift-caller/src/server.rs
@@ -53,15 +53,19 @@
 }
 
 /// Serves callers until `stop` turns true, then finishes the calls under way.
+///
+/// Calls are numbered from `first`. It must differ widely between starts of a process, or a late
+/// answer to a call before the start would go to the caller who has its number now.
 pub async fn serve(
     listener: TcpListener,
     options: Options,
     stop: watch::Receiver<bool>,
     calls: mpsc::Sender<Call>,
+    first: id::Request,
 ) {
     let desk = Desk {
         calls,
-        next: Arc::default(),
+        next: Arc::new(AtomicU64::new(first)),
     };
     let handler = move |request| {
         let desk = desk.clone();
--- a/crates/lentillift-core/src/coverage.rs
+++ b/crates/lentillift-core/src/coverage.rs
@@ -5,6 +5,9 @@
 use serde::Serialize;
 use std::fmt;
 
+/// The share that is shown when a shard is missing but nearly nothing of the data.
+const MOST_WITH_HOLES: f64 = 0.999_999;
+
 /// Why a shard is missing from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -72,6 +75,15 @@
         self.missing.is_empty()
     }
 
+    /// Whether a caller that wants at least the share `least` is served.
+    ///
+    /// An answer of which no shard replied covers nothing and is none. One who wants all gets all:
+    /// a share that is rounded to 1, or a missing shard that is said to be empty, doesn't do.
+    pub fn accepts(&self, least: f64) -> bool {
+        let covers = self.answered > 0 || self.shards == 0;
+        covers && self.share() >= least && (least < 1.0 || self.is_full())
+    }
+
     /// Share of the snapshot's documents that the answer covers, from 0 to 1.
     ///
     /// A snapshot without documents counts by its shards.
@@ -83,3 +95,15 @@
         }
     }
 }
+
+impl fmt::Display for Coverage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut share = self.share();
+        if !self.is_full() {
+            // Never rounded up to what would look like all of it.
+            share = share.min(MOST_WITH_HOLES);
+        }
+        let millionths = (share * 1e6).floor();
+        write!(f, "{:.6}", millionths / 1e6)
+    }
+}
--- a/crates/lentillift-core/src/refusal.rs
+++ b/crates/lentillift-core/src/refusal.rs
@@ -1,5 +1,6 @@
-//! Refusals: a request that was turned away before any of it ran.
+//! Refusals: a request that was turned away.
 
+use crate::outcome::Outcome;
 use serde::Deserialize;
 use serde::Serialize;
 use std::time::Duration;
@@ -41,6 +42,8 @@
     pub retry_after: Option<Duration>,
     /// What was found and what would be right.
     pub detail: String,
+    /// What is known of whether any part of the request ran.
+    pub outcome: Outcome,
 }
 
 impl Refusal {
@@ -50,9 +53,16 @@
             cause,
             retry_after: None,
             detail: detail.into(),
+            outcome: Outcome::NotRun,
         }
     }
 
+    /// Says whether any part of the request ran; without it, none did.
+    pub fn outcome(mut self, outcome: Outcome) -> Self {
+        self.outcome = outcome;
+        self
+    }
+
     /// Tells the caller when to come back.
     pub fn retry_after(mut self, after: Duration) -> Self {
         self.retry_after = Some(after);
--- a/crates/lentillift-entry/src/core.rs
+++ b/crates/lentillift-entry/src/core.rs
@@ -1,5 +1,6 @@
 //! All queries that this process has taken from callers.
 
+mod restart;
 mod send;
 mod settle;
 
@@ -7,6 +8,7 @@
 use crate::answer::Ask;
 use crate::flights::Flights;
 use crate::plan;
+use crate::plan::Gone;
 use crate::query::Query;
 use lentillift_core::id;
 use lentillift_core::refusal::Cause;
@@ -134,6 +136,7 @@
     /// Deadlines of the members.
     deadlines: BTreeSet<(Time, id::Request)>,
     loads: Loads,
+    gone: Gone,
     // INVARIANT: Holds configured services only.
     paces: HashMap<id::Service, Pace>,
     next_sub: id::Sub,
@@ -146,7 +149,10 @@
     R: Rng,
 {
     /// Starts without a view, hence refusing everything.
-    pub fn new(rng: R) -> Self {
+    pub fn new(mut rng: R) -> Self {
+        // A late reply to the process that ran here before must not be taken for one of ours, so
+        // numbers don't start where its numbers started.
+        let next_sub = rng.random::<id::Sub>() >> 1;
         Self {
             view: Arc::default(),
             policy: Policy::default(),
@@ -157,8 +163,9 @@
             flights: Flights::default(),
             deadlines: BTreeSet::new(),
             loads: Loads::default(),
+            gone: Gone::default(),
             paces: HashMap::new(),
-            next_sub: 0,
+            next_sub,
             counts: Counts::default(),
             rng,
         }
@@ -224,14 +231,9 @@
         }
         self.runs.start(key, request);
         let (deadline, rank) = (query.deadline, query.rank);
-        let shards = query.map.parts.len();
         self.queries.insert(request, query);
         self.enter(request, request, ask, deadline, rank);
-        let mut effects = Vec::with_capacity(shards);
-        for position in 0..shards {
-            effects.extend(self.try_replica(now, request, position, Vec::new(), false));
-        }
-        self.close_if_holed(request);
+        let mut effects = self.start(now, request);
         effects.extend(self.finish_if_settled(now, request));
         effects
     }
@@ -279,12 +281,12 @@
             );
             return Err(Refusal::new(Cause::Allowance, detail));
         }
-        let Some(map) = plan::snapshot(&self.view, &ask.service) else {
+        let Some(map) = plan::snapshot(&self.view, &ask.service, &self.gone, now) else {
             return Err(Refusal::new(Cause::NoSnapshot, "no snapshot is published"));
         };
         let deadline = partial::due(&self.policy.partial, now, ask.allowance);
         let class = config.class(service, &ask.caller);
-        let mut query = Query::new(ask.clone(), map.clone(), deadline);
+        let mut query = Query::new(ask.clone(), map.clone(), now, deadline);
         query.rank = class.map_or(u8::MAX, |class| class.rank);
         Ok(query)
     }
--- a/crates/lentillift-entry/src/core/send.rs
+++ b/crates/lentillift-entry/src/core/send.rs
@@ -92,7 +92,8 @@
             .replicas
             .iter()
             .filter(|backend| view.in_service(backend) && !tried.contains(backend))
-            .filter(|backend| view.owner(backend).is_some());
+            .filter(|backend| view.owner(backend).is_some())
+            .filter(|backend| !self.gone.is_gone(now, backend, query.map.snapshot));
         let candidates: Vec<Candidate<'_>> = usable
             .map(|backend| Candidate {
                 backend,
--- a/crates/lentillift-entry/src/core/settle.rs
+++ b/crates/lentillift-entry/src/core/settle.rs
@@ -44,10 +44,7 @@
                 self.give_up(&flight, Reason::Failed);
                 Vec::new()
             }
-            sub::Result::Failed { failure, outcome } => {
-                let again = self.failed(now, &flight, failure, outcome);
-                again.into_iter().collect()
-            }
+            sub::Result::Failed { failure, outcome } => self.failed(now, &flight, failure, outcome),
         };
         effects.extend(self.finish_if_settled(now, flight.run));
         effects
@@ -80,10 +77,17 @@
         flight: &Flight,
         failure: Failure,
         outcome: Outcome,
-    ) -> Option<Effect> {
-        let query = self.queries.get(&flight.run)?;
+    ) -> Vec<Effect> {
+        let Some(query) = self.queries.get_mut(&flight.run) else {
+            return Vec::new();
+        };
+        query.reached |= outcome != Outcome::NotRun;
+        if failure == Failure::SnapshotGone {
+            let snapshot = query.map.snapshot;
+            self.gone.note(now, flight.backend.clone(), snapshot);
+        }
         let State::Pending { tried } = &query.states[flight.position] else {
-            return None;
+            return Vec::new();
         };
         let tried = tried.clone();
         let pace = self.paces.entry(query.ask.service.clone()).or_default();
@@ -91,7 +95,7 @@
             pace.hedge.refused();
         }
         if self.flights.has_shard(flight.run, flight.position) {
-            return None;
+            return Vec::new();
         }
         let failed = retry::Failed {
             failure,
@@ -109,16 +113,20 @@
             }
             _ => None,
         };
-        match again {
-            Some(_) => self.counts.add("lentillift_retries_total"),
-            None => self.give_up(flight, reason(failure)),
+        if let Some(again) = again {
+            self.counts.add("lentillift_retries_total");
+            return vec![again];
+        }
+        self.give_up(flight, reason(failure));
+        match failure {
+            Failure::SnapshotGone => self.restart(now, flight.run),
+            _ => Vec::new(),
         }
-        again
     }
 
     fn give_up(&mut self, flight: &Flight, reason: Reason) {
         if let Some(query) = self.queries.get_mut(&flight.run) {
-            query.states[flight.position] = State::Missing(reason);
+            query.give_up(flight.position, reason);
         }
         self.close_if_holed(flight.run);
     }
@@ -173,10 +181,9 @@
         };
         let least = member.ask.least_coverage;
         let answer = query.answer(member.ask.limit);
-        let share = answer.coverage.share();
-        let effect = if share < least {
-            let detail = format!("reached {share:.4}, asked for {least}");
-            let mut refusal = Refusal::new(Cause::Coverage, detail);
+        let effect = if !answer.coverage.accepts(least) {
+            let detail = format!("reached {}, asked for at least {least}", answer.coverage);
+            let mut refusal = Refusal::new(Cause::Coverage, detail).outcome(query.outcome());
             if answer.coverage.missing.iter().any(|m| is_load(m.reason)) {
                 refusal = refusal.retry_after(admission::COME_BACK.0);
             }
@@ -218,7 +225,7 @@
 }
 
 /// Tells owners that sub-requests are of no more use.
-fn cancel(flights: Vec<(id::Sub, Flight)>) -> Vec<Effect> {
+pub(super) fn cancel(flights: Vec<(id::Sub, Flight)>) -> Vec<Effect> {
     let cancel = |(id, flight): (id::Sub, Flight)| Effect::Cancel {
         to: flight.owner,
         id,
--- a/crates/lentillift-entry/src/query.rs
+++ b/crates/lentillift-entry/src/query.rs
@@ -8,6 +8,7 @@
 use lentillift_core::hit;
 use lentillift_core::hit::Hit;
 use lentillift_core::id;
+use lentillift_core::outcome::Outcome;
 use lentillift_core::snapshot::Map;
 use lentillift_core::time::Time;
 use std::collections::BTreeSet;
@@ -40,24 +41,60 @@
     /// Where it stands with each part of `map`, by position.
     // INVARIANT: As long as `map.parts`.
     pub states: Vec<State>,
+    /// When it was asked.
+    pub since: Time,
+    /// Whether it was started anew at a newer snapshot.
+    pub restarted: bool,
+    /// Whether a sub-request that failed may have run.
+    pub reached: bool,
     /// When the last caller's answer is put together, complete or not.
     pub deadline: Time,
 }
 
 impl Query {
     /// Starts a query of which no shard has been asked.
-    pub fn new(ask: Ask, map: Map, deadline: Time) -> Self {
-        let states = map.parts.iter().map(|_| State::Missing(Reason::NoReplica));
+    pub fn new(ask: Ask, map: Map, now: Time, deadline: Time) -> Self {
         Self {
             ask,
             rank: u8::MAX,
             members: BTreeSet::new(),
-            states: states.collect(),
+            states: blank(&map),
             map,
+            since: now,
+            restarted: false,
+            reached: false,
             deadline,
         }
     }
 
+    /// Starts anew at another snapshot; nothing of the replies so far is kept.
+    pub fn restart(&mut self, map: Map) {
+        self.reached |= self.ran();
+        self.restarted = true;
+        self.states = blank(&map);
+        self.map = map;
+    }
+
+    /// Gives a shard up.
+    pub fn give_up(&mut self, position: usize, reason: Reason) {
+        self.states[position] = State::Missing(reason);
+    }
+
+    /// Whether a backend server has run a part of it at the present snapshot.
+    fn ran(&self) -> bool {
+        let mut states = self.states.iter();
+        states.any(|state| matches!(state, State::Answered(_)))
+    }
+
+    /// What is known of whether any backend server ran a part of it.
+    pub fn outcome(&self) -> Outcome {
+        match (self.ran(), self.reached || !self.is_settled()) {
+            (true, _) => Outcome::Done,
+            (false, true) => Outcome::Unknown,
+            (false, false) => Outcome::NotRun,
+        }
+    }
+
     /// Whether no shard's reply is awaited.
     pub fn is_settled(&self) -> bool {
         !self
@@ -107,3 +144,9 @@
         }
     }
 }
+
+/// The states of shards none of which was asked.
+fn blank(map: &Map) -> Vec<State> {
+    let states = map.parts.iter().map(|_| State::Missing(Reason::NoReplica));
+    states.collect()
+}
--- a/crates/lentillift-once/src/core.rs
+++ b/crates/lentillift-once/src/core.rs
@@ -80,8 +80,11 @@
         host: id::Host,
         incarnation: id::Incarnation,
         options: &home::Options,
-        rng: R,
+        mut rng: R,
     ) -> Self {
+        // A late result for the process that ran here before must not be taken for one of ours: a
+        // notice would count as filed because another was. So numbers don't start where its did.
+        let first = rng.random::<u64>() >> 1;
         Self {
             home: Home::new(host.clone(), incarnation, options),
             host,
@@ -95,8 +98,8 @@
             room: Quota::new(MOST_FLIGHTS),
             away: HashMap::new(),
             due: BTreeSet::new(),
-            next_sub: 0,
-            next_parcel: 0,
+            next_sub: first,
+            next_parcel: first,
             rng,
         }
     }
--- a/crates/lentillift-once/tests/explore.rs
+++ b/crates/lentillift-once/tests/explore.rs
@@ -96,7 +96,7 @@
     processes: Vec<Process>,
     mail: Vec<Mail>,
     /// What owners hold: the owner, the host that sent it, the sub-request.
-    held: Vec<(usize, usize, u64, sub::Sub)>,
+    held: Vec<(usize, usize, sub::Sub)>,
     ids: Vec<Id>,
     /// Which id each call of a caller was about.
     calls: HashMap<(usize, u64), usize>,
@@ -254,7 +254,7 @@
             Effect::Handover { parcel, .. } => Event::Handover { from, parcel },
             Effect::Taken { number, .. } => Event::Taken { number },
             Effect::Send { sub, .. } => {
-                self.held.push((mail.to, mail.from, mail.sender, sub));
+                self.held.push((mail.to, mail.from, sub));
                 return;
             }
             _ => return,
@@ -280,7 +280,7 @@
         self.tell(mail.from, event);
     }
 
-    fn run(&mut self, (owner, from, sender, sub): (usize, usize, u64, sub::Sub), fate: Fate) {
+    fn run(&mut self, (owner, from, sub): (usize, usize, sub::Sub), fate: Fate) {
         if matches!(fate, Fate::Reply | Fate::Lost)
             && let Work::Action { key } = &sub.work
         {
@@ -295,9 +295,9 @@
                 return;
             }
         };
-        if self.processes[from].incarnation == sender {
-            self.tell(from, Event::Result { id: sub.id, result });
-        }
+        // It also reaches a process that was started at the same host meanwhile.
+        let id = sub.id;
+        self.tell(from, Event::Result { id, result });
     }
 
     fn kill(&mut self, host: usize) {
@@ -455,3 +455,26 @@
         world.check();
     }
 }
+
+/// A process dies and is started again at the same host while a backend server still works on a
+/// request of its. The late result comes to the new process, whose caller must not be told that
+/// its own notice was filed.
+#[test]
+fn a_late_result_is_for_the_process_before() {
+    let mut world = World::start();
+    let file = |world: &mut World, id| {
+        world.step(Step::Issue(0));
+        world.step(Step::Send(0, id));
+        world.step(Step::Deliver(0));
+    };
+    file(&mut world, 0);
+    world.kill(0);
+    file(&mut world, 1);
+    assert_eq!(world.held.len(), 2);
+    world.step(Step::Run(0, Fate::Reply));
+    assert_eq!(world.done, 0);
+    world.step(Step::Run(0, Fate::Reply));
+    assert_eq!(world.done, 1);
+    world.finish();
+    world.check();
+}
--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -22,6 +22,7 @@
 use lentillift_operator::server::Board;
 use lentillift_platform::client::Client;
 use lentillift_settings::daemon::Settings;
+use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::net::SocketAddr;
@@ -134,7 +135,9 @@
 
         let (calls, for_desks) = mpsc::channel(QUEUE);
         tokio::spawn(pass_calls(for_desks, entry_mail, once_mail));
-        let callers = lentillift_caller::server::serve(sockets.caller, options, stopped, calls);
+        let first = rng(incarnation).random::<id::Request>() >> 1;
+        let callers =
+            lentillift_caller::server::serve(sockets.caller, options, stopped, calls, first);
         Self {
             stop,
             callers: tokio::spawn(callers),
