--- a/crates/lentillift-caller/src/parse.rs
+++ b/crates/lentillift-caller/src/parse.rs
@@ -1,6 +1,5 @@
 //! Making sense of what callers send.
 
-use crate::call::Action;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
@@ -9,6 +8,7 @@
 use lentillift_core::refusal::Cause;
 use lentillift_core::refusal::Refusal;
 use lentillift_entry::answer::Ask;
+use lentillift_once::submit::Submit;
 use serde::de::IgnoredAny;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
@@ -40,18 +40,14 @@
     /// A query.
     Query(Ask),
     /// An id for a request that may run at most once.
-    Issue(Issue),
+    Issue {
+        /// The service that the id is for.
+        service: id::Service,
+        /// The caller.
+        caller: id::Caller,
+    },
     /// A request that may run at most once.
-    Action(Action),
-}
-
-/// A wish for an id of a request that may run at most once.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Issue {
-    /// The service.
-    pub service: id::Service,
-    /// The caller.
-    pub caller: id::Caller,
+    Action(Submit),
 }
 
 /// Why a request was not understood.
@@ -90,7 +86,7 @@
     match verb {
         "query" => query(service, request).map(Route::Query),
         "action" => action(service, request).map(Route::Action),
-        _ => issue(service, request).map(Route::Issue),
+        _ => issue(service, request),
     }
     .map_err(Fault::Refused)
 }
@@ -124,22 +120,22 @@
     })
 }
 
-fn issue(service: &str, request: &Request<Bytes>) -> Result<Issue, Refusal> {
-    Ok(Issue {
+fn issue(service: &str, request: &Request<Bytes>) -> Result<Route, Refusal> {
+    Ok(Route::Issue {
         service: service.into(),
         caller: caller(request.headers())?,
     })
 }
 
-fn action(service: &str, request: &Request<Bytes>) -> Result<Action, Refusal> {
+fn action(service: &str, request: &Request<Bytes>) -> Result<Submit, Refusal> {
     let headers = request.headers();
     serde_json::from_slice::<IgnoredAny>(request.body()).map_err(malformed)?;
-    Ok(Action {
+    Ok(Submit {
         service: service.into(),
         caller: caller(headers)?,
         allowance: allowance(headers)?,
         key: required(headers, KEY)?,
-        body: request.body().to_vec(),
+        body: request.body().as_ref().into(),
     })
 }
 
--- a/crates/lentillift-caller/tests/contract.rs
+++ b/crates/lentillift-caller/tests/contract.rs
@@ -1,7 +1,7 @@
 //! The callers' interface over real sockets: what is understood, what is refused, and how.
 
 use lentillift_caller::call::Call;
-use lentillift_caller::call::Settled;
+
 use lentillift_caller::server;
 use lentillift_core::coverage::Coverage;
 use lentillift_core::coverage::Missing;
@@ -12,6 +12,7 @@
 use lentillift_core::refusal::Refusal;
 use lentillift_entry::answer::Answer;
 use lentillift_http::listener::Options;
+use lentillift_once::submit::Settled;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -49,7 +50,7 @@
         let (stop, stopped) = watch::channel(false);
         let (sender, calls) = mpsc::channel(8);
         let options = Options::default();
-        tokio::spawn(server::serve(listener, options, stopped, sender));
+        tokio::spawn(server::serve(listener, options, stopped, sender, 1));
         Self {
             address,
             calls,
@@ -252,7 +253,13 @@
             panic!("not an action");
         };
         let body = b"{}".to_vec();
-        reply.send(Settled { outcome, body }).unwrap();
+        let settled = Settled {
+            outcome,
+            cause: None,
+            retry_after: None,
+            body,
+        };
+        reply.send(settled).unwrap();
         assert_eq!(read(stream).await.status, status);
     }
 }
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -4,6 +4,7 @@
 use lentillift_core::sub;
 use lentillift_core::sub::Desk;
 use lentillift_core::sub::Failure;
+use lentillift_core::sub::Load;
 use lentillift_fleet::view::View;
 use lentillift_node::hub;
 use lentillift_node::hub::Inbound;
@@ -44,6 +45,11 @@
         }
     }
 
+    /// A name that differs between all processes, and between starts of each.
+    pub fn sender(&self) -> String {
+        format!("{}.{:x}", self.peer.host, self.peer.incarnation)
+    }
+
     /// Sends a message; what can't be sent comes back as undelivered.
     pub async fn send(&self, to: &id::Host, message: Message) {
         if *to == self.me {
@@ -64,9 +70,7 @@
     }
 
     fn address(&self, host: &id::Host) -> Option<std::net::SocketAddr> {
-        let view = self.view.borrow();
-        let roster = view.values.roster.as_ref()?;
-        Some(roster.hosts.get(host)?.address)
+        Some(self.view.borrow().hosts.get(host)?.address)
     }
 }
 
@@ -93,7 +97,7 @@
             Inbound::Undelivered { message, .. } => desks.undelivered(message).await,
             Inbound::Down { host } => {
                 let _ = desks.entry.send(entry::Mail::Down(host.clone())).await;
-                let _ = desks.once.send(once::Mail::Down(host)).await;
+                desks.once(once::Event::Down { host }).await;
             }
         }
     }
@@ -109,47 +113,68 @@
             Message::Cancel(id) => {
                 let _ = self.owner.send(owner::Mail::Cancel { from, id }).await;
             }
-            Message::Result { desk, id, result } => self.result(desk, id, result).await,
-            Message::Submit(submit) => {
-                let _ = self.once.send(once::Mail::Submit { from, submit }).await;
+            Message::Result {
+                desk,
+                id,
+                result,
+                load,
+            } => self.result(desk, id, result, load).await,
+            Message::Submit { request, submit } => {
+                let event = once::Event::Submit {
+                    from,
+                    request,
+                    submit,
+                };
+                self.once(event).await;
             }
-            Message::Settled {
-                request,
-                outcome,
-                body,
-            } => {
-                let settled = once::Mail::Settled {
+            Message::Settled { request, settled } => {
+                let event = once::Event::Settled {
+                    from,
                     request,
-                    outcome,
-                    body,
+                    settled,
                 };
-                let _ = self.once.send(settled).await;
+                self.once(event).await;
             }
+            Message::NotHome { request } => {
+                self.once(once::Event::NotHome { from, request }).await;
+            }
+            Message::Handover(parcel) => self.once(once::Event::Handover { from, parcel }).await,
+            Message::Taken { number } => self.once(once::Event::Taken { number }).await,
         }
     }
 
+    async fn once(&self, event: once::Event) {
+        let _ = self.once.send(once::Mail::Event(event)).await;
+    }
+
     /// A message that never left this process has run nowhere.
     async fn undelivered(&self, message: Message) {
         match message {
             Message::Sub(sub) => {
                 let result = sub::Result::not_run(Failure::Connection);
-                self.result(sub.work.desk(), sub.id, result).await;
+                self.result(sub.work.desk(), sub.id, result, None).await;
             }
-            Message::Submit(submit) => {
-                let _ = self.once.send(once::Mail::Undelivered(submit)).await;
+            Message::Submit { request, .. } => {
+                self.once(once::Event::Undelivered { request }).await;
             }
+            Message::Handover(parcel) => self.once(once::Event::Returned(parcel)).await,
             // Who was to get one of these sees the link end and decides by itself.
-            Message::Cancel(_) | Message::Result { .. } | Message::Settled { .. } => {}
+            Message::Cancel(_)
+            | Message::Result { .. }
+            | Message::Settled { .. }
+            | Message::NotHome { .. }
+            | Message::Taken { .. } => {}
         }
     }
 
-    async fn result(&self, desk: Desk, id: id::Sub, result: sub::Result) {
+    async fn result(&self, desk: Desk, id: id::Sub, result: sub::Result, load: Option<Load>) {
         match desk {
             Desk::Query => {
-                let _ = self.entry.send(entry::Mail::Result { id, result }).await;
+                let result = entry::Mail::Result { id, result, load };
+                let _ = self.entry.send(result).await;
             }
             Desk::Once => {
-                let _ = self.once.send(once::Mail::Result { id, result }).await;
+                self.once(once::Event::Result { id, result }).await;
             }
         }
     }
