Make the stand-ins misbehave as real backend servers do

Cause: the stand-in had no slots, no queue, no fall back into a cold start, no way to shed, hang or cancel, and no way to be driven from outside, so that no load run could show a fault.

Change: requests wait for a slot and are shed when too many wait; one too many in a cold start starts it over; cancellations end the work; loads can be misreported.

--- a/crates/lentillift-standin/src/backend.rs
+++ b/crates/lentillift-standin/src/backend.rs
@@ -1,7 +1,9 @@
 //! A backend server that searches nothing and says so quickly, or slowly.
 
+pub use crate::behavior::Behavior;
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -10,6 +12,10 @@
 use lentillift_http::listener::Options;
 use lentillift_http::listener::json;
 use lentillift_http::listener::plain;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Serialize;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -19,82 +25,70 @@
 use std::time::Duration;
 use std::time::Instant;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 /// Hits that a reply holds.
 const HITS: u64 = 10;
 
-/// How a backend server behaves.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Behavior {
-    /// Time that a request takes.
-    pub latency: Duration,
-    /// Every so many requests one takes `slow` in place of `latency`; 0 for none.
-    pub slow_every: u64,
-    /// Time that a slow request takes.
-    pub slow: Duration,
-    /// Requests that it bears at a time; more are a violation.
-    pub slots: u32,
-    /// Requests that it bears at a time while cold.
-    pub cold_slots: u32,
-    /// Until when it is cold.
-    pub cold_until: Option<Instant>,
-    /// Whether it says that it is leaving.
-    pub draining: bool,
-}
-
-impl Default for Behavior {
-    fn default() -> Self {
-        Self {
-            latency: Duration::from_millis(2),
-            slow_every: 0,
-            slow: Duration::from_millis(20),
-            slots: 2,
-            cold_slots: 1,
-            cold_until: None,
-            draining: false,
-        }
-    }
-}
-
 /// What a backend server has seen.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct Count {
     /// Requests that were started.
     pub requests: u64,
-    /// Requests under way.
+    /// Requests under way, waiting ones included.
     pub in_flight: u32,
     /// Most requests under way at a time.
     pub peak: u32,
     /// Times that more requests were under way than it bears.
     pub overloads: u64,
+    /// Times that it fell back to a cold start, because it got too much in one.
+    pub falls: u64,
+    /// Requests that it shed.
+    pub shed: u64,
     /// Cancellations.
     pub cancelled: u64,
     /// How often each idempotency key was run.
-    pub actions: HashMap<String, u64>,
+    pub actions: BTreeMap<String, u64>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     behavior: Behavior,
     count: Count,
+    /// Requests that it works on now.
+    busy: u32,
+    running: HashMap<String, Arc<Notify>>,
+    rng: StdRng,
 }
 
 /// A backend server.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Backend {
     state: Arc<Mutex<State>>,
+    /// Told whenever a request ends, so that one that waits may start.
+    ended: Arc<Notify>,
+}
+
+impl Default for Backend {
+    fn default() -> Self {
+        Self::new(Behavior::default())
+    }
 }
 
 impl Backend {
     /// Makes a backend server that behaves as told.
     pub fn new(behavior: Behavior) -> Self {
         let state = State {
+            rng: StdRng::seed_from_u64(behavior.seed),
             behavior,
             count: Count::default(),
+            busy: 0,
+            running: HashMap::new(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
+            ended: Arc::default(),
         }
     }
 
@@ -121,7 +115,10 @@
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/search") => self.search(request.headers()).await,
             (&Method::POST, "/v1/action") => self.action(request.headers()).await,
-            (&Method::DELETE, path) if path.starts_with("/v1/requests/") => self.cancel(),
+            (&Method::DELETE, path) => match path.strip_prefix("/v1/requests/") {
+                Some(id) => self.cancel(id),
+                None => plain(StatusCode::NOT_FOUND, "no such route".to_owned()),
+            },
             _ => plain(StatusCode::NOT_FOUND, "no such route".to_owned()),
         }
     }
@@ -132,7 +129,12 @@
         let (Some(snapshot), Some(shard)) = (snapshot, shard) else {
             return plain(StatusCode::BAD_REQUEST, "x-snapshot, x-shard".to_owned());
         };
-        self.work().await;
+        if !self.lock().behavior.holds(snapshot) {
+            return self.reply(StatusCode::GONE, "snapshot gone".to_owned());
+        }
+        if !self.work(headers).await {
+            return self.shed();
+        }
         let hits: Vec<_> = (0..HITS)
             .map(|n| {
                 // Scores interleave over shards, so that a merge has to look at all of them.
@@ -141,40 +143,89 @@
             })
             .collect();
         let body = serde_json::json!({ "snapshot": snapshot, "shard": shard, "hits": hits });
-        self.reply(body.to_string())
+        self.reply(StatusCode::OK, body.to_string())
     }
 
     async fn action(&self, headers: &HeaderMap) -> Response<Bytes> {
         let Some(key) = header::<String>(headers, "idempotency-key") else {
             return plain(StatusCode::BAD_REQUEST, "idempotency-key".to_owned());
         };
+        if self.is_full() {
+            return self.shed();
+        }
         *self.lock().count.actions.entry(key.clone()).or_default() += 1;
-        self.work().await;
-        self.reply(serde_json::json!({ "ran": key }).to_string())
+        self.work(headers).await;
+        self.reply(
+            StatusCode::OK,
+            serde_json::json!({ "ran": key }).to_string(),
+        )
     }
 
-    fn cancel(&self) -> Response<Bytes> {
-        self.lock().count.cancelled += 1;
+    fn cancel(&self, id: &str) -> Response<Bytes> {
+        let mut state = self.lock();
+        let Some(running) = state.running.get(id).cloned() else {
+            return plain(StatusCode::NOT_FOUND, "no such request".to_owned());
+        };
+        state.count.cancelled += 1;
+        running.notify_one();
         plain(StatusCode::OK, "cancelled".to_owned())
     }
 
-    async fn work(&self) {
-        let running = Running::start(self);
-        tokio::time::sleep(running.time).await;
+    fn is_full(&self) -> bool {
+        let state = self.lock();
+        state.count.in_flight >= state.behavior.slots + state.behavior.queue
     }
 
-    fn reply(&self, body: String) -> Response<Bytes> {
-        let state = self.lock();
-        let load = f64::from(state.count.in_flight) / f64::from(state.behavior.slots.max(1));
-        let word = match (state.behavior.draining, state.behavior.is_cold()) {
-            (true, _) => "draining",
-            (false, true) => "cold",
-            (false, false) => "ready",
+    /// Waits for a slot and works; false if the request was shed.
+    async fn work(&self, headers: &HeaderMap) -> bool {
+        if self.is_full() {
+            return false;
+        }
+        let id = header::<String>(headers, "x-request-id").unwrap_or_default();
+        let running = Running::start(self, id);
+        let left =
+            header::<u64>(headers, "x-deadline-ms").map_or(Duration::MAX, Duration::from_millis);
+        tokio::select! {
+            () = self.serve_one() => {}
+            () = running.cancelled.notified() => {}
+            () = tokio::time::sleep(left.min(Duration::from_secs(60))) => {}
+        }
+        true
+    }
+
+    async fn serve_one(&self) {
+        let _slot = loop {
+            let ended = self.ended.notified();
+            if let Some(slot) = Slot::take(self) {
+                break slot;
+            }
+            ended.await;
+        };
+        let time = {
+            let state = &mut *self.lock();
+            state.behavior.time(state.count.requests, &mut state.rng)
         };
+        tokio::time::sleep(time).await;
+    }
+
+    fn shed(&self) -> Response<Bytes> {
+        self.lock().count.shed += 1;
+        let mut response = self.reply(StatusCode::SERVICE_UNAVAILABLE, "shed".to_owned());
+        let outcome = HeaderValue::from_static("not-run");
+        response.headers_mut().insert("x-outcome", outcome);
+        response
+    }
+
+    fn reply(&self, status: StatusCode, body: String) -> Response<Bytes> {
+        let state = self.lock();
+        let slots = f64::from(state.behavior.slots.max(1));
+        let load = f64::from(state.count.in_flight) / slots;
+        let load = state.behavior.reported_load.unwrap_or(load);
+        let word = state.behavior.word();
         drop(state);
-        let mut response = json(StatusCode::OK, body.into_bytes());
+        let mut response = json(status, body.into_bytes());
         let headers = response.headers_mut();
-        headers.insert("x-state", http::HeaderValue::from_static(word));
+        headers.insert("x-state", HeaderValue::from_static(word));
         if let Ok(load) = format!("{load:.2}").parse() {
             headers.insert("x-load", load);
         }
@@ -186,47 +237,73 @@
     }
 }
 
-impl Behavior {
-    fn is_cold(&self) -> bool {
-        self.cold_until.is_some_and(|until| Instant::now() < until)
-    }
-}
-
 /// A request under way; it ends when dropped, also when its connection is cut.
 struct Running<'a> {
     backend: &'a Backend,
-    time: Duration,
+    id: String,
+    cancelled: Arc<Notify>,
 }
 
 impl<'a> Running<'a> {
-    fn start(backend: &'a Backend) -> Self {
-        let mut state = backend.lock();
-        let bears = match state.behavior.is_cold() {
-            true => state.behavior.cold_slots,
-            false => state.behavior.slots,
-        };
+    fn start(backend: &'a Backend, id: String) -> Self {
+        let cancelled: Arc<Notify> = Arc::default();
+        let state = &mut *backend.lock();
+        let bears = state.behavior.bears();
         let count = &mut state.count;
         count.requests += 1;
         count.in_flight += 1;
         count.peak = count.peak.max(count.in_flight);
-        count.overloads += u64::from(count.in_flight > bears);
-        let every = state.behavior.slow_every;
-        let slow = every > 0 && state.count.requests.is_multiple_of(every);
-        let time = match slow {
-            true => state.behavior.slow,
-            false => state.behavior.latency,
-        };
-        drop(state);
-        Self { backend, time }
+        let overload = count.in_flight > bears;
+        count.overloads += u64::from(overload);
+        if overload && state.behavior.is_cold() {
+            count.falls += 1;
+            state.behavior.fall();
+        }
+        state.running.insert(id.clone(), cancelled.clone());
+        Self {
+            backend,
+            id,
+            cancelled,
+        }
     }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.backend.lock().count.in_flight -= 1;
+        let mut state = self.backend.lock();
+        state.count.in_flight -= 1;
+        state.running.remove(&self.id);
+    }
+}
+
+/// One of the requests that a backend server works on at a time.
+struct Slot<'a> {
+    backend: &'a Backend,
+}
+
+impl<'a> Slot<'a> {
+    fn take(backend: &'a Backend) -> Option<Self> {
+        let mut state = backend.lock();
+        if state.busy >= state.behavior.slots {
+            return None;
+        }
+        state.busy += 1;
+        Some(Self { backend })
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.backend.lock().busy -= 1;
+        self.backend.ended.notify_one();
     }
 }
 
+/// When a backend server that is told to be cold for `time` is warm again.
+pub fn cold_for(time: Duration) -> Option<Instant> {
+    Some(Instant::now() + time)
+}
+
 fn header<T>(headers: &HeaderMap, name: &str) -> Option<T>
 where
     T: FromStr,
--- a/crates/lentillift-standin/src/lib.rs
+++ b/crates/lentillift-standin/src/lib.rs
@@ -5,4 +5,8 @@
 #![forbid(unsafe_code)]
 
 pub mod backend;
+pub mod behavior;
+pub mod control;
+pub mod fault;
 pub mod platform;
+pub mod world;
--- a/crates/lentillift/src/demo/fleet.rs
+++ b/crates/lentillift/src/demo/fleet.rs
@@ -16,7 +16,7 @@
 use lentillift_settings::roster;
 use lentillift_settings::roster::Roster;
 use lentillift_standin::backend::Backend;
-use lentillift_standin::backend::Behavior;
+use lentillift_standin::behavior::Behavior;
 use lentillift_standin::platform::Platform;
 use lentilliftd::daemon::Daemon;
 use lentilliftd::daemon::Sockets;
