Probe hosts, spread revisions among peers, and tell a view that is too old

Until now every process watched the configuration service by itself, believed the published list of hosts, and gave up a whole pass when one key could not be read.

Each process now probes one random host per half second in the manner of SWIM (indirect probes, suspicion, refutation by a version that only the host raises), passes news on in datagrams of at most 1,400 bytes, and asks a peer for everything when digests stay different. Two hosts of each failure domain watch the service in turns; values are fetched from peers in chunks of 64 KB, checked at each receiver, and the highest revision stays in force. A starting process asks the service and up to three peers before it takes work. The view's deadline is renewed four times a second and passes when the process is paused for a second or reaches nobody for three.

Seen with the demonstration of three processes; no measurement yet.

--- /dev/null
+++ b/crates/lentillift-fleet/src/boot.rs
@@ -0,0 +1,234 @@
+//! What passes with time: probes, news, calls, and the start.
+
+use crate::core::Effect;
+use crate::core::Fleet;
+use crate::core::note;
+use crate::life::Any;
+use crate::member::Member;
+use crate::packet::Body;
+use crate::packet::News;
+use crate::probe::Action;
+use crate::probe::Around;
+use crate::read;
+use crate::read::Role;
+use crate::view::Health;
+use crate::view::Stage;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Peers whose word a starting process waits for, if that many answer.
+///
+/// One may itself have started just now; three that all lack the newest revision have hardly been
+/// reached by it yet.
+const PEERS: usize = 3;
+
+/// Random hosts that are sent fresh news at once.
+///
+/// News that three pass on to three each reaches 760 hosts in six steps, and misses one in twenty;
+/// those get it with the probes.
+const FANOUT: usize = 3;
+
+/// One push in how many also goes to another region.
+const ABROAD: u32 = 8;
+
+/// Time without an answer from any peer after which a process reads the service itself.
+const LONELY: Duration = Duration::from_millis(1500);
+
+/// Time that a starting process gives its peers to answer its probes.
+const PEER_TIME: Duration = Duration::from_millis(1500);
+
+/// Time that a starting process gives the configuration service.
+const SERVICE_TIME: Duration = Duration::from_secs(3);
+
+/// Time after which a starting process is content with the word of one peer.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+impl<R> Fleet<R>
+where
+    R: Rng,
+{
+    /// Does all that is due.
+    pub(crate) fn tick(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Some(gap) = self.freshness.tick(now) {
+            // Answers came while nobody listened. To hold every host for dead that seems not to
+            // have answered would make this process take over the whole fleet's work.
+            self.prober.forget();
+            let detail = format!("for {} ms", gap.as_millis());
+            effects.push(note("paused", &self.own.host, detail));
+        }
+        if self.table.iter().all(|m| m.stage == Stage::Gone) {
+            self.freshness.prove(now);
+        }
+        if self.table.forget(now) {
+            self.picture.touch_hosts();
+        }
+        effects.extend(self.probe(now));
+        effects.extend(self.pull(now));
+        effects.extend(self.call(now));
+        if self.own.stage == Stage::Starting && self.is_prepared(now) {
+            effects.extend(self.advance(Any::serve));
+        }
+        if self.queue.has_new() {
+            effects.extend(self.push());
+        }
+        let ready = self.is_ready(now);
+        effects.push(Effect::Ready(ready));
+        effects
+    }
+
+    /// Whether the balancer may send callers here.
+    fn is_ready(&self, now: Time) -> bool {
+        let serving = self.own.stage == Stage::Serving;
+        serving && now < self.freshness.until() && !self.is_out(&self.own)
+    }
+
+    fn probe(&mut self, now: Time) -> Vec<Effect> {
+        let home = self.region(&self.own.domain);
+        let config = self.store.values().config.as_ref();
+        let is_home =
+            |member: &Member| config.is_none_or(|config| config.region(&member.domain) == home);
+        let around = Around {
+            table: &self.table,
+            is_home,
+            seeds: &self.options.seeds,
+            starting: self.own.stage == Stage::Starting,
+            fresh: now < self.freshness.until(),
+        };
+        let actions = self.prober.tick(now, &around, &mut self.rng);
+        let effects = actions.into_iter().map(|action| self.act(now, action));
+        effects.flatten().collect()
+    }
+
+    fn act(&mut self, now: Time, action: Action) -> Vec<Effect> {
+        match action {
+            Action::Ping(address, sequence) => {
+                let packet = self.ping(address, sequence);
+                vec![Effect::Packet(address, packet)]
+            }
+            Action::Ask {
+                helper,
+                sequence,
+                target,
+                address,
+            } => {
+                let body = Body::Probe {
+                    sequence,
+                    target,
+                    address,
+                };
+                vec![Effect::Packet(helper, self.make(body, None))]
+            }
+            Action::Judge(host, version, health) => {
+                let Some(worse) = self.table.judge(now, &host, version, health) else {
+                    return Vec::new();
+                };
+                self.picture.touch_hosts();
+                let hosts = self.table.len();
+                self.queue.push(News::Member(worse), hosts);
+                let detail = match health {
+                    Health::Alive => "answers",
+                    Health::Suspect => "does not answer, suspected",
+                    Health::Dead => "does not answer, held for dead",
+                };
+                vec![note("host", &host, detail.to_owned())]
+            }
+        }
+    }
+
+    fn ping(&mut self, address: SocketAddr, sequence: u64) -> crate::packet::Packet {
+        let target = self.table.iter().find(|m| m.address == address);
+        let target = target.map(|m| m.host.clone());
+        self.make(Body::Ping(sequence), target.as_ref())
+    }
+
+    /// Sends news to some random hosts at once.
+    pub(crate) fn push(&mut self) -> Vec<Effect> {
+        let home = self.region(&self.own.domain);
+        let usable = |m: &&Member| !m.is_over() && m.version > 0;
+        let (near, far): (Vec<&Member>, Vec<&Member>) = self
+            .table
+            .iter()
+            .filter(usable)
+            .partition(|m| self.region(&m.domain) == home);
+        let drawn = near.into_iter().choose_multiple(&mut self.rng, FANOUT);
+        let mut targets: Vec<SocketAddr> = drawn.into_iter().map(|m| m.address).collect();
+        if self.rng.random_ratio(1, ABROAD) {
+            let drawn = far.into_iter().choose(&mut self.rng);
+            targets.extend(drawn.map(|m| m.address));
+        }
+        let effects = targets
+            .into_iter()
+            .map(|address| Effect::Packet(address, self.make(Body::Push, None)));
+        effects.collect()
+    }
+
+    /// Makes the calls to the configuration service that are due.
+    pub(crate) fn call(&mut self, now: Time) -> Vec<Effect> {
+        let role = self.role(now);
+        let hosts = self.table.iter().filter(|m| !m.is_over()).count() + 1;
+        let calls = self.reader.tick(now, role, hosts);
+        calls.into_iter().map(Effect::Call).collect()
+    }
+
+    fn role(&self, now: Time) -> Role {
+        let heard = self.heard.unwrap_or(self.started);
+        let lonely = heard + LONELY <= now;
+        match self.own.stage {
+            Stage::Starting => Role::Alone,
+            _ if lonely => Role::Alone,
+            _ if self.is_watcher(now) => Role::Watcher,
+            _ => Role::Other,
+        }
+    }
+
+    fn is_watcher(&self, now: Time) -> bool {
+        let near = self.table.iter().filter(|m| {
+            let able = m.stage == Stage::Serving && m.health == Health::Alive;
+            able && m.domain == self.own.domain
+        });
+        let near = near.map(|m| &m.host);
+        let wall = self.options.wall + now;
+        read::is_watcher(&self.options.read, wall, &self.own.host, near)
+    }
+
+    /// Whether this starting process should ask a peer for all it knows; notes that it did.
+    pub(crate) fn asks_at_start(&mut self, now: Time, peer: &id::Host) -> bool {
+        self.asked.retain(|_, asked| *asked + PEER_TIME > now);
+        let known = self.told.contains(peer) || self.asked.contains_key(peer);
+        if known || self.told.len() >= PEERS || self.asked.len() >= PEERS {
+            return false;
+        }
+        self.asked.insert(peer.clone(), now);
+        true
+    }
+
+    /// Whether this starting process knows all it must know before it serves.
+    ///
+    /// The service may be down, stale, or serve old revisions to this process alone, and so may any
+    /// one peer be behind. Without asking both, a restart would bring an old revision back here.
+    fn is_prepared(&self, now: Time) -> bool {
+        let age = now.saturating_sub(self.started);
+        let read = self.reader.is_done() || self.reader.failures() > 1 || age >= SERVICE_TIME;
+        let complete = self.store.is_complete() && self.fetch.is_idle();
+        complete && read && now < self.freshness.until() && self.has_heard_peers(age)
+    }
+
+    fn has_heard_peers(&self, age: Duration) -> bool {
+        let peers = self.table.iter().filter(|m| m.version > 0 && !m.is_over());
+        let peers = peers.count();
+        if peers == 0 {
+            // The others on the list may all be gone, or all be starting just now.
+            return age >= PEER_TIME || self.table.is_empty();
+        }
+        let enough = match age >= PATIENCE {
+            true => 1,
+            false => peers.min(PEERS),
+        };
+        self.told.len() >= enough
+    }
+}
--- /dev/null
+++ b/crates/lentillift-fleet/src/core.rs
@@ -0,0 +1,376 @@
+//! One process's part in the fleet: who is alive, which values are in force, and what to act on.
+
+use crate::drift::Drift;
+use crate::drift::MEMBER_PATIENCE;
+use crate::drift::VALUE_PATIENCE;
+use crate::freshness;
+use crate::freshness::Freshness;
+use crate::gossip::Queue;
+use crate::life::Any;
+use crate::life::Life;
+use crate::member::Member;
+use crate::member::Table;
+use crate::packet::Body;
+use crate::packet::Digest;
+use crate::packet::News;
+use crate::packet::Packet;
+use crate::picture::Picture;
+use crate::probe;
+use crate::probe::Prober;
+use crate::read;
+use crate::read::Index;
+use crate::read::Reader;
+use crate::sync;
+use crate::sync::Fetch;
+use crate::value::Key;
+use crate::value::Mark;
+use crate::value::Store;
+use crate::view::Health;
+use crate::view::Stage;
+use crate::view::View;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+use rand::Rng;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two ticks.
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// Figures of a process's part in the fleet.
+#[derive(Debug, Clone, Default)]
+pub struct Options {
+    /// Figures of freshness.
+    pub freshness: freshness::Options,
+    /// Figures of probing.
+    pub probe: probe::Options,
+    /// Figures of reading the configuration service.
+    pub read: read::Options,
+    /// Wall-clock time at the epoch of the process's clock, since 1970.
+    ///
+    /// Only turns in watching the service rest on it; a wrong clock costs some more calls.
+    pub wall: Duration,
+    /// Node addresses of some other processes.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// What happens to a process as a part of the fleet.
+#[derive(Debug)]
+pub enum Event {
+    /// Time passed; due every [`TICK`].
+    Tick,
+    /// A datagram came.
+    Packet(Packet),
+    /// A peer sent a message over its link.
+    Message(id::Host, sync::Message),
+    /// The configuration service answered with its index, or the call failed.
+    Index(Option<Index>),
+    /// The configuration service answered with a value, or the call failed.
+    Value(Key, Option<Vec<u8>>),
+    /// The process takes nothing new from now on.
+    Leave,
+    /// The process ends.
+    End,
+}
+
+/// What a process wants done as a part of the fleet.
+#[derive(Debug)]
+pub enum Effect {
+    /// Act on this view from now on.
+    View(Arc<View>),
+    /// Send a datagram.
+    Packet(SocketAddr, Packet),
+    /// Send a message over the link to a peer.
+    Message(id::Host, sync::Message),
+    /// Call the configuration service.
+    Call(read::Call),
+    /// Tell the balancer whether to send callers here.
+    Ready(bool),
+    /// Put a change of state on the time line.
+    Note {
+        /// What kind of change it is.
+        kind: &'static str,
+        /// What it is about.
+        subject: String,
+        /// What changed.
+        detail: String,
+    },
+}
+
+/// One process's part in the fleet.
+#[derive(Debug)]
+pub struct Fleet<R> {
+    pub(crate) options: Options,
+    pub(crate) rng: R,
+    pub(crate) started: Time,
+    life: Option<Any>,
+    // INVARIANT: What `life` says of this process.
+    pub(crate) own: Member,
+    pub(crate) table: Table,
+    pub(crate) store: Store,
+    pub(crate) freshness: Freshness,
+    pub(crate) prober: Prober,
+    pub(crate) queue: Queue,
+    pub(crate) reader: Reader,
+    pub(crate) fetch: Fetch,
+    pub(crate) picture: Picture,
+    /// Values that a peer holds for valid and this process does not.
+    pub(crate) refused: BTreeMap<Key, Mark>,
+    value_drift: Drift,
+    member_drift: Drift,
+    /// When a peer last answered.
+    pub(crate) heard: Option<Time>,
+    /// Peers that were asked for all they know during the start, and when.
+    pub(crate) asked: BTreeMap<id::Host, Time>,
+    /// Peers that have told all they know.
+    pub(crate) told: BTreeSet<id::Host>,
+}
+
+impl<R> Fleet<R>
+where
+    R: Rng,
+{
+    /// Starts as `me`, whose version and incarnation must be new for its host.
+    pub fn new(options: Options, now: Time, me: Member, rng: R) -> Self {
+        let life = Any::Starting(Life::start(me));
+        let own = life.member().clone();
+        Self {
+            rng,
+            started: now,
+            life: Some(life),
+            own,
+            table: Table::default(),
+            store: Store::default(),
+            freshness: Freshness::new(options.freshness, now),
+            prober: Prober::new(options.probe.clone(), now),
+            queue: Queue::default(),
+            reader: Reader::new(options.read),
+            fetch: Fetch::default(),
+            picture: Picture::default(),
+            refused: BTreeMap::new(),
+            value_drift: Drift::default(),
+            member_drift: Drift::default(),
+            heard: None,
+            asked: BTreeMap::new(),
+            told: BTreeSet::new(),
+            options,
+        }
+    }
+
+    /// What this process says of itself.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// The other hosts.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// The values in force.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// The latest view.
+    pub fn view(&self) -> &Arc<View> {
+        self.picture.view()
+    }
+
+    /// Takes in an event and says what to do about it.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let mut effects = match event {
+            Event::Tick => self.tick(now),
+            Event::Packet(packet) => self.packet(now, packet),
+            Event::Message(from, message) => self.message(now, &from, message),
+            Event::Index(index) => self.index(now, index),
+            Event::Value(key, body) => self.value(now, &key, body),
+            Event::Leave => self.retire(Any::leave),
+            Event::End => self.retire(Any::end),
+        };
+        if let Some(view) = self.draw(now) {
+            effects.insert(0, Effect::View(view));
+        }
+        effects
+    }
+
+    /// Takes a step of life after which no callers may be sent here.
+    fn retire(&mut self, step: fn(Any) -> Any) -> Vec<Effect> {
+        let mut effects = self.advance(step);
+        effects.push(Effect::Ready(false));
+        effects
+    }
+
+    /// Takes a step of life and tells some peers at once.
+    pub(crate) fn advance(&mut self, step: fn(Any) -> Any) -> Vec<Effect> {
+        let Some(life) = self.life.take().map(step) else {
+            return Vec::new();
+        };
+        let changed = life.member().stage != self.own.stage;
+        self.own = life.member().clone();
+        self.life = Some(life);
+        if !changed {
+            return Vec::new();
+        }
+        self.picture.touch_hosts();
+        let mut effects = vec![note(
+            "stage",
+            &self.own.host,
+            format!("{:?}", self.own.stage).to_lowercase(),
+        )];
+        effects.extend(self.push());
+        effects
+    }
+
+    fn packet(&mut self, now: Time, packet: Packet) -> Vec<Effect> {
+        let Packet {
+            from,
+            digest,
+            body,
+            news,
+        } = packet;
+        let mut effects = self.learn(now, &from);
+        if from.host == self.own.host {
+            return effects;
+        }
+        for news in news {
+            match news {
+                News::Member(member) => effects.extend(self.learn(now, &member)),
+                News::Value(key, mark) => self.want(&key, mark, &from.host),
+            }
+        }
+        effects.extend(self.answer(now, &from, body));
+        effects.extend(self.compare(now, &from, digest));
+        effects.extend(self.pull(now));
+        effects
+    }
+
+    fn answer(&mut self, now: Time, from: &Member, body: Body) -> Vec<Effect> {
+        match body {
+            Body::Ping(sequence) => {
+                let packet = self.make(Body::Ack(sequence), Some(&from.host));
+                vec![Effect::Packet(from.address, packet)]
+            }
+            Body::Ack(sequence) => {
+                let answer = self.prober.ack(&from.host, sequence);
+                self.settle(now, answer)
+            }
+            Body::Proof(sequence) => {
+                let answer = self.prober.settle(sequence);
+                self.settle(now, answer)
+            }
+            Body::Probe {
+                sequence,
+                target,
+                address,
+            } => match self.prober.relay(now, from.address, sequence) {
+                Some(own) => {
+                    let packet = self.make(Body::Ping(own), Some(&target));
+                    vec![Effect::Packet(address, packet)]
+                }
+                None => Vec::new(),
+            },
+            Body::Push => Vec::new(),
+        }
+    }
+
+    fn settle(&mut self, now: Time, answer: probe::Answer) -> Vec<Effect> {
+        match answer {
+            probe::Answer::Own(sent) => {
+                self.heard = Some(now);
+                self.freshness.prove(sent);
+                Vec::new()
+            }
+            probe::Answer::Relayed(origin, sequence) => {
+                let packet = self.make(Body::Proof(sequence), None);
+                vec![Effect::Packet(origin, packet)]
+            }
+            probe::Answer::Late => Vec::new(),
+        }
+    }
+
+    /// Makes a datagram with news; `to` is told what is held against it, so that it can contradict.
+    pub(crate) fn make(&mut self, body: Body, to: Option<&id::Host>) -> Packet {
+        let against = to.and_then(|to| self.table.get(to));
+        let against = against.filter(|m| m.health != Health::Alive || m.stage == Stage::Gone);
+        let against = against.cloned().map(News::Member);
+        let used = against.as_ref().map_or(0, News::bytes);
+        let mut news = self.queue.take(used);
+        news.extend(against);
+        Packet {
+            from: self.own.clone(),
+            digest: Digest {
+                values: self.store.digest(),
+                members: self.member_digest(),
+            },
+            body,
+            news,
+        }
+    }
+
+    /// Digest of all hosts, this process included, so that two processes can compare theirs.
+    fn member_digest(&self) -> u64 {
+        self.table.digest() ^ self.own.digest()
+    }
+
+    /// Takes in an account of a host.
+    pub(crate) fn learn(&mut self, now: Time, news: &Member) -> Vec<Effect> {
+        if news.host == self.own.host {
+            self.refute(news);
+            return Vec::new();
+        }
+        let old = self.table.get(&news.host);
+        let old = old.map(|m| (m.version, m.stage, m.health));
+        if !self.table.merge(now, news) {
+            return Vec::new();
+        }
+        self.picture.touch_hosts();
+        let hosts = self.table.len();
+        self.queue.push(News::Member(news.clone()), hosts);
+        let same = old.is_some_and(|(version, stage, health)| {
+            (stage, health) == (news.stage, news.health) && version > 0
+        });
+        if same {
+            return Vec::new();
+        }
+        let detail = format!("{:?}, {:?}", news.stage, news.health).to_lowercase();
+        vec![note("host", &news.host, detail)]
+    }
+
+    fn refute(&mut self, news: &Member) {
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        if life.refute(news) {
+            self.own = life.member().clone();
+            self.picture.touch_hosts();
+            self.queue
+                .push(News::Member(self.own.clone()), self.table.len());
+        }
+    }
+
+    /// Asks a peer for all it knows if it holds what this process has not heard of for long.
+    fn compare(&mut self, now: Time, from: &Member, digest: Digest) -> Vec<Effect> {
+        let values = digest.values == self.store.digest();
+        let members = digest.members == self.member_digest();
+        let mut asks = self.value_drift.observe(now, values, VALUE_PATIENCE);
+        asks |= self.member_drift.observe(now, members, MEMBER_PATIENCE);
+        let starting = self.own.stage == Stage::Starting;
+        asks |= starting && self.asks_at_start(now, &from.host);
+        if !asks {
+            return Vec::new();
+        }
+        vec![Effect::Message(from.host.clone(), sync::Message::Ask)]
+    }
+}
+
+pub(crate) fn note(kind: &'static str, subject: &str, detail: String) -> Effect {
+    Effect::Note {
+        kind,
+        subject: subject.to_owned(),
+        detail,
+    }
+}
--- /dev/null
+++ b/crates/lentillift-fleet/src/drift.rs
@@ -0,0 +1,35 @@
+//! When to compare everything with a peer, because news must have been lost.
+
+use lentillift_core::time::Time;
+use std::time::Duration;
+
+/// For how long digests have differed from those of others.
+#[derive(Debug, Default)]
+pub(crate) struct Drift {
+    since: Option<Time>,
+}
+
+impl Drift {
+    /// Notes whether a peer's digest is equal; says whether news had time enough to even it out.
+    pub(crate) fn observe(&mut self, now: Time, equal: bool, patience: Duration) -> bool {
+        if equal {
+            self.since = None;
+            return false;
+        }
+        let since = *self.since.get_or_insert(now);
+        let asks = since + patience <= now;
+        if asks {
+            self.since = None;
+        }
+        asks
+    }
+}
+
+/// Time for news of values to come round before everything is compared.
+pub(crate) const VALUE_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Time for news of hosts to come round before everything is compared.
+///
+/// A full account of 760 hosts takes 50 KB; at most every five seconds that is half the budget, and
+/// only while news keeps getting lost.
+pub(crate) const MEMBER_PATIENCE: Duration = Duration::from_secs(5);
--- a/crates/lentillift-fleet/src/view.rs
+++ b/crates/lentillift-fleet/src/view.rs
@@ -136,6 +136,22 @@
         }
     }
 
+    /// Derives the view that follows this one, with new values if there are any.
+    pub fn follow(&self, values: Option<&Values>, hosts: BTreeMap<id::Host, Host>) -> Self {
+        let generation = self.generation + 1;
+        // To choose owners costs backend servers times hosts; most changes of hosts, as from one
+        // incarnation to the next, leave the choice as it is.
+        if values.is_none() && usable(&hosts).eq(usable(&self.hosts)) {
+            return Self {
+                generation,
+                hosts: Arc::new(hosts),
+                ..self.clone()
+            };
+        }
+        let values = values.unwrap_or(&self.values).clone();
+        Self::derive(generation, self.fresh_until, values, hosts)
+    }
+
     /// Whether the process may still act on this picture at `now`.
     pub fn fresh(&self, now: Time) -> bool {
         now < self.fresh_until
@@ -160,6 +176,14 @@
     }
 }
 
+/// The hosts that may be given work, with all on which the choice among them may rest.
+fn usable(
+    hosts: &BTreeMap<id::Host, Host>,
+) -> impl Iterator<Item = (&id::Host, &id::Domain, &id::Region)> {
+    let usable = hosts.iter().filter(|(_, host)| host.is_usable());
+    usable.map(|(name, host)| (name, &host.domain, &host.region))
+}
+
 fn backends(values: &Values, alive: &[id::Host]) -> HashMap<id::Backend, Backend> {
     let mut backends = HashMap::new();
     for (service, placement) in &values.placements {
--- /dev/null
+++ b/crates/lentillift-node/src/gossip.rs
@@ -0,0 +1,312 @@
+//! What processes tell each other about hosts and values, as it stands on the wire.
+
+use crate::mirror::mirror;
+use bincode::Decode;
+use bincode::Encode;
+use lentillift_fleet::member;
+use lentillift_fleet::packet;
+use lentillift_fleet::sync;
+use lentillift_fleet::value;
+use lentillift_fleet::view;
+use std::net::SocketAddr;
+
+/// See [`member::Member`].
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Member {
+    host: String,
+    address: SocketAddr,
+    domain: String,
+    incarnation: u64,
+    version: u64,
+    stage: Stage,
+    health: Health,
+}
+
+/// See [`view::Stage`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum Stage {
+    /// See [`view::Stage::Starting`].
+    Starting,
+    /// See [`view::Stage::Serving`].
+    Serving,
+    /// See [`view::Stage::Leaving`].
+    Leaving,
+    /// See [`view::Stage::Gone`].
+    Gone,
+}
+
+/// See [`view::Health`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum Health {
+    /// See [`view::Health::Alive`].
+    Alive,
+    /// See [`view::Health::Suspect`].
+    Suspect,
+    /// See [`view::Health::Dead`].
+    Dead,
+}
+
+/// See [`value::Mark`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct Mark {
+    revision: u64,
+    sum: u64,
+}
+
+/// See [`packet::News`].
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum News {
+    /// See [`packet::News::Member`].
+    Member(Member),
+    /// See [`packet::News::Value`].
+    Value(String, Mark),
+}
+
+/// See [`packet::Body`].
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum Body {
+    /// See [`packet::Body::Ping`].
+    Ping(u64),
+    /// See [`packet::Body::Ack`].
+    Ack(u64),
+    /// See [`packet::Body::Probe`].
+    Probe(u64, String, SocketAddr),
+    /// See [`packet::Body::Proof`].
+    Proof(u64),
+    /// See [`packet::Body::Push`].
+    Push,
+}
+
+/// See [`packet::Packet`].
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Packet {
+    from: Member,
+    values: u64,
+    members: u64,
+    body: Body,
+    news: Vec<News>,
+}
+
+/// See [`sync::Message`].
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum Sync {
+    /// See [`sync::Message::Ask`].
+    Ask,
+    /// See [`sync::Message::Told`].
+    Told(Vec<Member>, Vec<(String, Mark)>),
+    /// See [`sync::Message::Pull`].
+    Pull(String, Mark, u32),
+    /// See [`sync::Message::Chunk`].
+    Chunk(Box<Chunk>),
+}
+
+/// See [`sync::Message::Chunk`].
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Chunk {
+    key: String,
+    mark: Mark,
+    version: u64,
+    offset: u32,
+    total: u32,
+    bytes: Vec<u8>,
+}
+
+impl From<member::Member> for Member {
+    fn from(member: member::Member) -> Self {
+        Self {
+            host: member.host.to_string(),
+            address: member.address,
+            domain: member.domain.to_string(),
+            incarnation: member.incarnation,
+            version: member.version,
+            stage: member.stage.into(),
+            health: member.health.into(),
+        }
+    }
+}
+
+impl TryFrom<Member> for member::Member {
+    type Error = String;
+
+    fn try_from(member: Member) -> Result<Self, Self::Error> {
+        if member.host.is_empty() {
+            return Err("a host without a name".to_owned());
+        }
+        Ok(Self {
+            host: member.host.into(),
+            address: member.address,
+            domain: member.domain.into(),
+            incarnation: member.incarnation,
+            version: member.version,
+            stage: member.stage.into(),
+            health: member.health.into(),
+        })
+    }
+}
+
+impl From<value::Mark> for Mark {
+    fn from(mark: value::Mark) -> Self {
+        Self {
+            revision: mark.revision,
+            sum: mark.sum,
+        }
+    }
+}
+
+impl From<Mark> for value::Mark {
+    fn from(mark: Mark) -> Self {
+        Self {
+            revision: mark.revision,
+            sum: mark.sum,
+        }
+    }
+}
+
+impl From<packet::News> for News {
+    fn from(news: packet::News) -> Self {
+        match news {
+            packet::News::Member(member) => Self::Member(member.into()),
+            packet::News::Value(key, mark) => Self::Value(key.to_string(), mark.into()),
+        }
+    }
+}
+
+impl TryFrom<News> for packet::News {
+    type Error = String;
+
+    fn try_from(news: News) -> Result<Self, Self::Error> {
+        Ok(match news {
+            News::Member(member) => Self::Member(member.try_into()?),
+            News::Value(key, mark) => Self::Value(key.into(), mark.into()),
+        })
+    }
+}
+
+impl From<packet::Body> for Body {
+    fn from(body: packet::Body) -> Self {
+        match body {
+            packet::Body::Ping(sequence) => Self::Ping(sequence),
+            packet::Body::Ack(sequence) => Self::Ack(sequence),
+            packet::Body::Probe {
+                sequence,
+                target,
+                address,
+            } => Self::Probe(sequence, target.to_string(), address),
+            packet::Body::Proof(sequence) => Self::Proof(sequence),
+            packet::Body::Push => Self::Push,
+        }
+    }
+}
+
+impl From<Body> for packet::Body {
+    fn from(body: Body) -> Self {
+        match body {
+            Body::Ping(sequence) => Self::Ping(sequence),
+            Body::Ack(sequence) => Self::Ack(sequence),
+            Body::Probe(sequence, target, address) => Self::Probe {
+                sequence,
+                target: target.into(),
+                address,
+            },
+            Body::Proof(sequence) => Self::Proof(sequence),
+            Body::Push => Self::Push,
+        }
+    }
+}
+
+impl From<packet::Packet> for Packet {
+    fn from(packet: packet::Packet) -> Self {
+        Self {
+            from: packet.from.into(),
+            values: packet.digest.values,
+            members: packet.digest.members,
+            body: packet.body.into(),
+            news: packet.news.into_iter().map(News::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<Packet> for packet::Packet {
+    type Error = String;
+
+    fn try_from(packet: Packet) -> Result<Self, Self::Error> {
+        let news = packet.news.into_iter().map(packet::News::try_from);
+        Ok(Self {
+            from: packet.from.try_into()?,
+            digest: packet::Digest {
+                values: packet.values,
+                members: packet.members,
+            },
+            body: packet.body.into(),
+            news: news.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<sync::Message> for Sync {
+    fn from(message: sync::Message) -> Self {
+        match message {
+            sync::Message::Ask => Self::Ask,
+            sync::Message::Told { members, marks } => {
+                let marks = marks.into_iter();
+                let marks = marks.map(|(key, mark)| (key.to_string(), mark.into()));
+                Self::Told(
+                    members.into_iter().map(Member::from).collect(),
+                    marks.collect(),
+                )
+            }
+            sync::Message::Pull { key, mark, offset } => {
+                Self::Pull(key.to_string(), mark.into(), offset)
+            }
+            sync::Message::Chunk {
+                key,
+                mark,
+                version,
+                offset,
+                total,
+                bytes,
+            } => Self::Chunk(Box::new(Chunk {
+                key: key.to_string(),
+                mark: mark.into(),
+                version,
+                offset,
+                total,
+                bytes,
+            })),
+        }
+    }
+}
+
+impl TryFrom<Sync> for sync::Message {
+    type Error = String;
+
+    fn try_from(message: Sync) -> Result<Self, Self::Error> {
+        Ok(match message {
+            Sync::Ask => Self::Ask,
+            Sync::Told(members, marks) => {
+                let members = members.into_iter().map(member::Member::try_from);
+                let marks = marks.into_iter();
+                Self::Told {
+                    members: members.collect::<Result<_, _>>()?,
+                    marks: marks.map(|(key, mark)| (key.into(), mark.into())).collect(),
+                }
+            }
+            Sync::Pull(key, mark, offset) => Self::Pull {
+                key: key.into(),
+                mark: mark.into(),
+                offset,
+            },
+            Sync::Chunk(chunk) => Self::Chunk {
+                key: chunk.key.into(),
+                mark: chunk.mark.into(),
+                version: chunk.version,
+                offset: chunk.offset,
+                total: chunk.total,
+                bytes: chunk.bytes,
+            },
+        })
+    }
+}
+
+mirror!(view::Stage, Stage, Starting, Serving, Leaving, Gone);
+mirror!(view::Health, Health, Alive, Suspect, Dead);
--- a/crates/lentillift-node/src/message.rs
+++ b/crates/lentillift-node/src/message.rs
@@ -5,6 +5,7 @@
 use lentillift_core::sub;
 use lentillift_core::sub::Desk;
 use lentillift_core::sub::Sub;
+use lentillift_fleet::sync;
 use std::time::Duration;
 
 /// A message between two of the system's processes.
@@ -34,6 +35,8 @@
         /// The backend server's reply, or a line that says what is wrong.
         body: Vec<u8>,
     },
+    /// About hosts and values.
+    Sync(sync::Message),
 }
 
 /// A request that may run at most once, on its way to its home.
--- a/crates/lentillift-node/src/wire.rs
+++ b/crates/lentillift-node/src/wire.rs
@@ -2,7 +2,9 @@
 //!
 //! These types are apart from those the program works with, so that neither binds the other.
 
+use crate::gossip;
 use crate::message;
+use crate::mirror::mirror;
 use bincode::Decode;
 use bincode::Encode;
 use lentillift_core::hit;
@@ -23,6 +25,8 @@
     Submit(Submit),
     /// See [`message::Message::Settled`].
     Settled(u64, Outcome, Vec<u8>),
+    /// See [`message::Message::Sync`].
+    Sync(gossip::Sync),
 }
 
 /// See [`sub::Sub`].
@@ -133,6 +137,7 @@
                 outcome,
                 body,
             } => Self::Settled(request, outcome.into(), body),
+            message::Message::Sync(message) => Self::Sync(message.into()),
         }
     }
 }
@@ -155,6 +160,7 @@
                 outcome: outcome.into(),
                 body,
             },
+            Message::Sync(message) => Self::Sync(message.try_into()?),
         })
     }
 }
@@ -286,27 +292,6 @@
     }
 }
 
-/// Writes the conversions, both ways, between two enums with the same unit variants.
-macro_rules! mirror {
-    ($domain:ty, $wire:ty, $($variant:ident),+) => {
-        impl From<$domain> for $wire {
-            fn from(value: $domain) -> Self {
-                match value {
-                    $(<$domain>::$variant => Self::$variant,)+
-                }
-            }
-        }
-
-        impl From<$wire> for $domain {
-            fn from(value: $wire) -> Self {
-                match value {
-                    $(<$wire>::$variant => Self::$variant,)+
-                }
-            }
-        }
-    };
-}
-
 mirror!(sub::Desk, Desk, Query, Once);
 mirror!(outcome::Outcome, Outcome, Done, NotRun, Unknown);
 mirror!(
--- a/crates/lentillift-settings/src/placement.rs
+++ b/crates/lentillift-settings/src/placement.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// Published state of a backend server or of a host.
@@ -40,3 +41,25 @@
     /// A service of actions has none.
     pub maps: Vec<Map>,
 }
+
+impl Placement {
+    /// All that makes the placement unfit to be in force.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for map in &self.maps {
+            let mut shards = BTreeSet::new();
+            for part in &map.parts {
+                let place = format!("maps[snapshot {}].shard {}", map.snapshot, part.shard);
+                if !shards.insert(part.shard) {
+                    faults.push(format!("{place}: found twice, once is right"));
+                }
+                for backend in &part.replicas {
+                    if !self.servers.contains_key(backend) {
+                        faults.push(format!("{place}.replicas: no backend server `{backend}`"));
+                    }
+                }
+            }
+        }
+        faults
+    }
+}
--- a/crates/lentillift-settings/src/roster.rs
+++ b/crates/lentillift-settings/src/roster.rs
@@ -26,3 +26,20 @@
     /// The hosts.
     pub hosts: BTreeMap<id::Host, Entry>,
 }
+
+impl Roster {
+    /// All that makes the list unfit to be in force.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut addresses = BTreeMap::new();
+        for (host, entry) in &self.hosts {
+            if let Some(other) = addresses.insert(entry.address, host) {
+                faults.push(format!(
+                    "hosts.{host}.address: {} is the address of {other} too",
+                    entry.address
+                ));
+            }
+        }
+        faults
+    }
+}
--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -1,18 +1,23 @@
 //! Putting the tasks of one process together.
 
 use crate::entry;
+use crate::fleet;
 use crate::once;
 use crate::owner;
 use crate::peers;
 use crate::peers::Desks;
 use crate::peers::Peers;
-use crate::view;
 use lentillift_caller::call::Call;
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
 use lentillift_core::id;
 use lentillift_core::time::Clock;
+use lentillift_fleet::core as fleet_core;
+use lentillift_fleet::core::Fleet;
+use lentillift_fleet::member::Member;
+use lentillift_fleet::view::Health;
+use lentillift_fleet::view::Stage;
 use lentillift_fleet::view::View;
 use lentillift_http::listener;
 use lentillift_node::hub;
@@ -26,14 +31,21 @@
 use rand::rngs::StdRng;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Messages that wait for a task at most; a full queue makes the sender wait.
 const QUEUE: usize = 8192;
 
+/// Ports that are tried at most when the system chooses.
+const MOST_TRIES: u32 = 16;
+
 /// The listening sockets of a process.
 #[derive(Debug)]
 pub struct Sockets {
@@ -41,6 +53,9 @@
     pub caller: TcpListener,
     /// For the system's other processes.
     pub node: TcpListener,
+    /// For datagrams of the system's other processes.
+    // INVARIANT: Bound to the address and port of `node`.
+    pub datagram: UdpSocket,
     /// For operators.
     pub operator: TcpListener,
 }
@@ -52,14 +67,33 @@
     ///
     /// Names the address that can't be listened on.
     pub async fn open(settings: &Settings) -> Result<Self> {
+        let (node, datagram) = open_node(settings.node_address).await?;
         Ok(Self {
             caller: listen(settings.caller_address).await?,
-            node: listen(settings.node_address).await?,
+            node,
+            datagram,
             operator: listen(settings.operator_address).await?,
         })
     }
 }
 
+/// Opens a listener and a datagram socket at one port.
+async fn open_node(address: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let listener = listen(address).await?;
+        let local = listener.local_addr();
+        let local = local.map_err(|e| Error::new(Step::Listen, address, e))?;
+        match UdpSocket::bind(local).await {
+            Ok(socket) => return Ok((listener, socket)),
+            // The port that the system chose is free for TCP and not for UDP; another may do.
+            Err(_) if address.port() == 0 && tries < MOST_TRIES => {}
+            Err(e) => return Err(Error::new(Step::Listen, local, e)),
+        }
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|e| Error::new(Step::Listen, address, e))
@@ -70,6 +104,7 @@
 pub struct Daemon {
     stop: watch::Sender<bool>,
     callers: JoinHandle<()>,
+    fleet: mpsc::Sender<fleet::Mail>,
     /// What the process tells its operators.
     pub board: Board,
 }
@@ -85,6 +120,7 @@
             host: settings.host.clone(),
             incarnation,
         };
+        let own = member(settings, &sockets, incarnation);
 
         let (local, inbound) = mpsc::channel(QUEUE);
         let hub = hub::spawn(me.clone(), sockets.node, local.clone());
@@ -93,10 +129,12 @@
         let (entry_mail, for_entry) = mpsc::channel(QUEUE);
         let (once_mail, for_once) = mpsc::channel(QUEUE);
         let (owner_mail, for_owner) = mpsc::channel(QUEUE);
+        let (fleet_mail, for_fleet) = mpsc::channel(QUEUE);
         let desks = Desks {
             entry: entry_mail.clone(),
             once: once_mail.clone(),
             owner: owner_mail.clone(),
+            fleet: fleet_mail.clone(),
         };
         tokio::spawn(peers::sort(inbound, desks));
 
@@ -112,11 +150,27 @@
         tokio::spawn(once.run(for_once, seen.clone()));
 
         let host = settings.host.clone();
-        let owner = owner::Task::new(host, clock, peers, board.clone(), owner_mail);
+        let owner = owner::Task::new(host, clock, peers.clone(), board.clone(), owner_mail);
         tokio::spawn(owner.run(for_owner, seen));
 
         let platform = Client::new(settings.platform_address);
-        tokio::spawn(view::Task::new(platform, board.clone(), view).run());
+        let options = fleet_core::Options {
+            wall: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default(),
+            seeds: settings.seeds.clone(),
+            ..fleet_core::Options::default()
+        };
+        let part = Fleet::new(options, clock.now(), own, rng(incarnation + 2));
+        let around = fleet::Around {
+            peers,
+            board: board.clone(),
+            clock,
+            view,
+            mail: fleet_mail.clone(),
+        };
+        let fleet = fleet::Task::new(part, sockets.datagram, platform, around);
+        tokio::spawn(fleet.run(for_fleet));
 
         let options = listener::Options::default();
         let operators = lentillift_operator::server::serve(
@@ -133,15 +187,33 @@
         Self {
             stop,
             callers: tokio::spawn(callers),
+            fleet: fleet_mail,
             board,
         }
     }
 
     /// Takes no more callers and waits until those under way have their answers.
     pub async fn stop(self) {
-        self.board.set_ready(false);
+        let _ = self.fleet.send(fleet::Mail::Leave).await;
         self.stop.send_replace(true);
         let _ = self.callers.await;
+        let (told, heard) = oneshot::channel();
+        let _ = self.fleet.send(fleet::Mail::End(told)).await;
+        let _ = heard.await;
+    }
+}
+
+/// What this process first says of itself.
+fn member(settings: &Settings, sockets: &Sockets, incarnation: id::Incarnation) -> Member {
+    let address = sockets.node.local_addr();
+    Member {
+        host: settings.host.clone(),
+        address: address.unwrap_or(settings.node_address),
+        domain: settings.domain.clone(),
+        incarnation,
+        version: incarnation,
+        stage: Stage::Starting,
+        health: Health::Alive,
     }
 }
 
--- a/crates/lentilliftd/src/lib.rs
+++ b/crates/lentilliftd/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub mod daemon;
 pub mod entry;
+pub mod fleet;
 pub mod once;
 pub mod owner;
 pub mod peers;
-pub mod view;
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::entry;
+use crate::fleet;
 use crate::once;
 use crate::owner;
 
@@ -77,6 +78,8 @@
     pub once: mpsc::Sender<once::Mail>,
     /// The task that owns backend servers.
     pub owner: mpsc::Sender<owner::Mail>,
+    /// The task that takes part in the fleet.
+    pub fleet: mpsc::Sender<fleet::Mail>,
 }
 
 /// Passes on what comes from other processes until all senders are gone.
@@ -123,6 +126,9 @@
                 };
                 let _ = self.once.send(settled).await;
             }
+            Message::Sync(message) => {
+                let _ = self.fleet.send(fleet::Mail::Message(from, message)).await;
+            }
         }
     }
 
@@ -138,6 +144,8 @@
             }
             // Who was to get one of these sees the link end and decides by itself.
             Message::Cancel(_) | Message::Result { .. } | Message::Settled { .. } => {}
+            // Whoever needs it asks again.
+            Message::Sync(_) => {}
         }
     }
 
