Record decisions of a process and replay them

Change: crate lentillift-trace: JSON lines of timed events at the seams of the entry and of requests that run at most once; recorded by the daemon when LENTILLIFT_TRACE names a directory; replayed through the same code under virtual time.

Conclusion: the owner's part is left to be recorded (docs/design/replay.md).

--- a/crates/lentillift-core/src/hit.rs
+++ b/crates/lentillift-core/src/hit.rs
@@ -1,10 +1,12 @@
 //! Ranked hits and their merge.
 
+use serde::Deserialize;
+use serde::Serialize;
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
 /// One hit of a search; all but its id and score is opaque.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Hit {
     /// The document's id.
     pub id: String,
--- a/crates/lentillift-core/src/lib.rs
+++ b/crates/lentillift-core/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod refusal;
 pub mod snapshot;
 pub mod sub;
+pub mod text;
 pub mod time;
--- a/crates/lentillift-core/src/refusal.rs
+++ b/crates/lentillift-core/src/refusal.rs
@@ -34,7 +34,7 @@
 }
 
 /// A refusal as its caller sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// Why it was refused.
     pub cause: Cause,
--- a/crates/lentillift-core/src/sub.rs
+++ b/crates/lentillift-core/src/sub.rs
@@ -3,11 +3,14 @@
 use crate::hit::Hit;
 use crate::id;
 use crate::outcome::Outcome;
+use serde::Deserialize;
+use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// What a sub-request asks of its backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Work {
     /// Search one shard of one snapshot; may be repeated.
     Search {
@@ -24,7 +27,8 @@
 }
 
 /// The part of a process that sent a sub-request and waits for its result.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Desk {
     /// The part that serves queries.
     Query,
@@ -43,7 +47,7 @@
 }
 
 /// A sub-request on its way from an entry to an owner.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sub {
     /// The sub-request's number at the desk that sent it.
     pub id: id::Sub,
@@ -60,6 +64,7 @@
     /// A duration and not a point in time, because hosts' clocks differ.
     pub allowance: Duration,
     /// The caller's body, passed on as it came.
+    #[serde(with = "crate::text")]
     pub body: Arc<[u8]>,
     /// Whether another replica was asked as well; it then runs at once on a warm backend server
     /// with a free slot, or not at all.
@@ -67,7 +72,8 @@
 }
 
 /// Why a sub-request failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Failure {
     /// The owner's queue is full or the sub-request would have been late.
     Refused,
@@ -90,12 +96,13 @@
 }
 
 /// Result of a sub-request.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Result {
     /// The hits of one shard, in the order of [`crate::hit::order`].
     Hits(Vec<Hit>),
     /// The reply to an action, as the backend server wrote it.
-    Reply(Vec<u8>),
+    Reply(#[serde(with = "crate::text")] Vec<u8>),
     /// It failed.
     Failed {
         /// Why it failed.
@@ -132,7 +139,7 @@
 }
 
 /// Load and state that a backend server reports with a reply.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Reported load, from 0 (idle) to 1 (full).
     pub load: Option<f64>,
@@ -145,7 +152,7 @@
 }
 
 /// Load of a backend server as its owner counts it; sent along with each result.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Sub-requests that wait.
     pub queued: u32,
--- a/crates/lentillift-entry/src/answer.rs
+++ b/crates/lentillift-entry/src/answer.rs
@@ -3,11 +3,13 @@
 use lentillift_core::coverage::Coverage;
 use lentillift_core::hit::Hit;
 use lentillift_core::id;
+use serde::Deserialize;
+use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// A query as its caller put it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
     /// The service to search.
     pub service: id::Service,
@@ -20,6 +22,7 @@
     /// The least share of the data that the caller accepts, from 0 to 1.
     pub least_coverage: f64,
     /// The body, passed on to backend servers as it came.
+    #[serde(with = "lentillift_core::text")]
     pub body: Arc<[u8]>,
 }
 
@@ -28,7 +31,7 @@
 /// # Invariants
 ///
 /// All hits are of `snapshot`, and of the shards that `coverage` counts as answered.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
     /// The snapshot that was searched.
     pub snapshot: id::Snapshot,
--- a/crates/lentillift-entry/src/core.rs
+++ b/crates/lentillift-entry/src/core.rs
@@ -31,13 +31,16 @@
 use lentillift_settings::config::Kind;
 use lentillift_settings::policy::Policy;
 use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// What happens to an entry.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Event {
     /// A caller asked.
     Ask {
@@ -72,7 +75,8 @@
 }
 
 /// What an entry wants done.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Effect {
     /// Send a sub-request to an owner.
     Send {
--- a/crates/lentillift-fleet/src/lib.rs
+++ b/crates/lentillift-fleet/src/lib.rs
@@ -3,4 +3,5 @@
 #![forbid(unsafe_code)]
 
 pub mod rendezvous;
+pub mod seen;
 pub mod view;
--- a/crates/lentillift-fleet/src/view.rs
+++ b/crates/lentillift-fleet/src/view.rs
@@ -1,12 +1,15 @@
 //! What one process holds to be true of the fleet at a point in time.
 
 use crate::rendezvous;
+use crate::seen::Seen;
 use lentillift_core::id;
 use lentillift_settings::config::Config;
 use lentillift_settings::placement::Placement;
 use lentillift_settings::placement::Server;
 use lentillift_settings::placement::State;
 use lentillift_settings::roster::Roster;
+use serde::Deserialize;
+use serde::Serialize;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -34,7 +37,8 @@
 }
 
 /// An immutable picture of the fleet, made anew at each change.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(from = "Seen", into = "Seen")]
 pub struct View {
     /// The values in force.
     pub values: Values,
--- a/crates/lentillift-once/src/event.rs
+++ b/crates/lentillift-once/src/event.rs
@@ -8,11 +8,14 @@
 use lentillift_core::sub;
 use lentillift_core::sub::Sub;
 use lentillift_fleet::view::View;
+use serde::Deserialize;
+use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// What happens.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Event {
     /// A caller wants an id.
     Issue {
@@ -98,7 +101,8 @@
 }
 
 /// What is to be done.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Effect {
     /// Give a caller its id, or turn it away.
     Issued {
--- a/crates/lentillift-once/src/record.rs
+++ b/crates/lentillift-once/src/record.rs
@@ -2,6 +2,8 @@
 
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use serde::Deserialize;
+use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
 use twox_hash::XxHash64;
@@ -10,7 +12,8 @@
 pub type Digest = u64;
 
 /// Where an id stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum State {
     /// It was never sent, or certainly reached no backend server.
     Unused,
@@ -38,7 +41,7 @@
 }
 
 /// A record on its way to the host that takes over.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Carried {
     /// The id's number.
     pub number: u64,
@@ -55,7 +58,7 @@
 }
 
 /// Records of one home, handed over by a process that has given them up.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Parcel {
     /// Number of the parcel at the process that sent it.
     pub number: u64,
--- a/crates/lentillift-once/src/submit.rs
+++ b/crates/lentillift-once/src/submit.rs
@@ -3,11 +3,13 @@
 use lentillift_core::id;
 use lentillift_core::outcome::Outcome;
 use lentillift_core::refusal::Cause;
+use serde::Deserialize;
+use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// A request that may run at most once.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submit {
     /// The id that its home issued.
     pub key: String,
@@ -18,11 +20,12 @@
     /// Time left until its outcome is of no more use.
     pub allowance: Duration,
     /// The body, passed on as it came.
+    #[serde(with = "lentillift_core::text")]
     pub body: Arc<[u8]>,
 }
 
 /// What became of a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Settled {
     /// What became of it.
     ///
@@ -34,6 +37,7 @@
     /// When to ask again, where that helps.
     pub retry_after: Option<Duration>,
     /// The backend server's reply, or a line that says what is wrong.
+    #[serde(with = "lentillift_core::text")]
     pub body: Vec<u8>,
 }
 
--- a/crates/lentillift-once/tests/explore.rs
+++ b/crates/lentillift-once/tests/explore.rs
@@ -478,3 +478,27 @@
     world.finish();
     world.check();
 }
+
+/// A host is replaced after a notice was filed by it. Its caller, who did not get the reply, asks
+/// another host with the same id and must learn that the notice was filed.
+#[test]
+fn a_home_that_leaves_hands_over_what_it_knows() {
+    let mut world = World::start();
+    world.step(Step::Issue(0));
+    world.step(Step::Send(0, 0));
+    world.step(Step::Deliver(0));
+    world.step(Step::Run(0, Fate::Reply));
+    world.step(Step::Leave(0));
+    while !world.mail.is_empty() {
+        world.step(Step::Deliver(0));
+    }
+    world.kill(0);
+    for host in 1..HOSTS {
+        // The view without the first host.
+        world.step(Step::View(host, 1));
+        world.step(Step::Send(host, 0));
+    }
+    world.finish();
+    world.check();
+    assert_eq!(world.done, 3);
+}
--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::peers;
 use crate::peers::Desks;
 use crate::peers::Peers;
+use crate::trace;
 use crate::view;
 use lentillift_caller::call::Call;
 use lentillift_core::error::Error;
@@ -17,8 +18,6 @@
 use lentillift_http::listener;
 use lentillift_node::hub;
 use lentillift_node::link::Peer;
-use lentillift_once::core::Once;
-use lentillift_once::home;
 use lentillift_operator::server::Board;
 use lentillift_platform::client::Client;
 use lentillift_settings::daemon::Settings;
@@ -26,6 +25,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -78,6 +78,16 @@
 impl Daemon {
     /// Starts all tasks of a process.
     pub fn start(settings: &Settings, sockets: Sockets, incarnation: id::Incarnation) -> Self {
+        Self::start_traced(settings, sockets, incarnation, None)
+    }
+
+    /// Starts all tasks of a process and writes traces of its decisions into a directory.
+    pub fn start_traced(
+        settings: &Settings,
+        sockets: Sockets,
+        incarnation: id::Incarnation,
+        traces: Option<&Path>,
+    ) -> Self {
         let clock = Clock::start();
         let board = Board::new(settings.host.clone(), incarnation, clock);
         let (stop, stopped) = watch::channel(false);
@@ -101,19 +111,12 @@
         };
         tokio::spawn(peers::sort(inbound, desks));
 
-        let entry = entry::Task::new(
-            settings.domain.clone(),
-            rng(incarnation),
-            clock,
-            peers.clone(),
-            board.clone(),
-        );
+        let entry = trace::start(settings, incarnation, incarnation, traces);
+        let entry = entry::Task::new(entry, clock, peers.clone(), board.clone());
         tokio::spawn(entry.run(for_entry, seen.clone()));
 
         // Not seeded by the incarnation, which stands in each id: the ids' secrets would be known.
-        let secrets = StdRng::from_os_rng();
-        let options = home::Options::default();
-        let once = Once::new(settings.host.clone(), incarnation, &options, secrets);
+        let once = trace::start(settings, incarnation, rand::random(), traces);
         let once = once::Task::new(once, clock, peers.clone(), board.clone());
         tokio::spawn(once.run(for_once, seen.clone()));
 
--- a/crates/lentilliftd/src/entry.rs
+++ b/crates/lentilliftd/src/entry.rs
@@ -14,6 +14,7 @@
 use lentillift_fleet::view::View;
 use lentillift_node::message::Message;
 use lentillift_operator::server::Board;
+use lentillift_trace::record::Traced;
 use rand::rngs::StdRng;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -51,7 +52,7 @@
 /// The task that serves queries.
 #[derive(Debug)]
 pub struct Task {
-    entry: Entry<StdRng>,
+    entry: Traced<Entry<StdRng>>,
     waiting: HashMap<id::Request, Waiting>,
     clock: Clock,
     peers: Peers,
@@ -60,9 +61,9 @@
 
 impl Task {
     /// Makes the task; nothing is served yet.
-    pub fn new(domain: id::Domain, rng: StdRng, clock: Clock, peers: Peers, board: Board) -> Self {
+    pub fn new(entry: Traced<Entry<StdRng>>, clock: Clock, peers: Peers, board: Board) -> Self {
         Self {
-            entry: Entry::new(rng).near(domain),
+            entry,
             waiting: HashMap::new(),
             clock,
             peers,
--- a/crates/lentilliftd/src/main.rs
+++ b/crates/lentilliftd/src/main.rs
@@ -9,6 +9,7 @@
 use lentillift_settings::jsonc;
 use lentilliftd::daemon::Daemon;
 use lentilliftd::daemon::Sockets;
+use std::path::PathBuf;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -16,6 +17,9 @@
 use tokio::signal::unix::signal;
 use tracing::info;
 
+/// Environment variable that names a directory for traces of the decisions of this process.
+const TRACES: &str = "LENTILLIFT_TRACE";
+
 /// Worker threads for sockets and decisions.
 const WORKERS: usize = 2;
 
@@ -67,7 +71,9 @@
     });
     println!("{listening}");
     let started = SystemTime::now().duration_since(UNIX_EPOCH)?;
-    let daemon = Daemon::start(&settings, sockets, started.as_nanos() as u64);
+    let traces = std::env::var_os(TRACES).map(PathBuf::from);
+    let incarnation = started.as_nanos() as u64;
+    let daemon = Daemon::start_traced(&settings, sockets, incarnation, traces.as_deref());
     info!(host = %settings.host, "started");
     let mut terminate = signal(SignalKind::terminate())?;
     terminate.recv().await;
--- a/crates/lentilliftd/src/once.rs
+++ b/crates/lentilliftd/src/once.rs
@@ -12,6 +12,7 @@
 pub(crate) use lentillift_once::event::Event;
 use lentillift_once::submit::Settled;
 use lentillift_operator::server::Board;
+use lentillift_trace::record::Traced;
 use rand::rngs::StdRng;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -39,7 +40,7 @@
 /// The task that serves requests that may run at most once.
 #[derive(Debug)]
 pub struct Task {
-    once: Once<StdRng>,
+    once: Traced<Once<StdRng>>,
     issues: HashMap<id::Request, oneshot::Sender<Result<String, Refusal>>>,
     calls: HashMap<id::Request, oneshot::Sender<Settled>>,
     left: Vec<oneshot::Sender<()>>,
@@ -51,7 +52,7 @@
 
 impl Task {
     /// Makes the task; nothing is served yet.
-    pub fn new(once: Once<StdRng>, clock: Clock, peers: Peers, board: Board) -> Self {
+    pub fn new(once: Traced<Once<StdRng>>, clock: Clock, peers: Peers, board: Board) -> Self {
         Self {
             once,
             issues: HashMap::new(),
