--- a/crates/lentillift-fleet/src/seen.rs
+++ b/crates/lentillift-fleet/src/seen.rs
@@ -3,6 +3,7 @@
 use crate::view::Values;
 use crate::view::View;
 use lentillift_core::id;
+use lentillift_core::time::Time;
 use lentillift_settings::config::Config;
 use lentillift_settings::placement::Placement;
 use lentillift_settings::roster::Roster;
@@ -18,6 +19,9 @@
     roster: Option<Arc<Roster>>,
     placements: BTreeMap<id::Service, Arc<Placement>>,
     alive: Vec<id::Host>,
+    /// When it is too old to act on; never, where none is given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    fresh_until: Option<Time>,
 }
 
 impl From<View> for Seen {
@@ -27,6 +31,7 @@
             roster: view.values.roster.clone(),
             placements: view.values.placements.clone(),
             alive: view.alive.to_vec(),
+            fresh_until: Some(view.fresh_until).filter(|until| *until < Time::MAX),
         }
     }
 }
@@ -38,6 +43,9 @@
             roster: seen.roster,
             placements: seen.placements,
         };
-        Self::new(values, seen.alive)
+        Self {
+            fresh_until: seen.fresh_until.unwrap_or(Time::MAX),
+            ..Self::new(values, seen.alive)
+        }
     }
 }
--- a/crates/lentillift-once/src/core.rs
+++ b/crates/lentillift-once/src/core.rs
@@ -197,7 +197,7 @@
             let refusal = Refusal::new(Cause::Leaving, "the process is ending");
             return Err(refusal.retry_after(RETRY_AFTER));
         }
-        self.check(service, caller)?;
+        self.check(now, service, caller)?;
         let share = self.share(caller).unwrap_or(Share {
             weight: 0,
             total: 1,
@@ -212,7 +212,17 @@
     }
 
     /// Checks that the configuration in force knows the caller, and the service as one of actions.
-    pub(crate) fn check(&self, service: &id::Service, caller: &id::Caller) -> Result<(), Refusal> {
+    pub(crate) fn check(
+        &self,
+        now: Time,
+        service: &id::Service,
+        caller: &id::Caller,
+    ) -> Result<(), Refusal> {
+        // A process that was paused or cut off knows nothing of what was taken out meanwhile.
+        if !self.view.fresh(now) {
+            let refusal = Refusal::new(Cause::Stale, "no fresh view of the fleet");
+            return Err(refusal.retry_after(RETRY_AFTER));
+        }
         let Some(config) = &self.view.values.config else {
             let refusal = Refusal::new(Cause::Stale, "no configuration yet");
             return Err(refusal.retry_after(RETRY_AFTER));
