--- a/crates/lentillift-settings/src/config.rs
+++ b/crates/lentillift-settings/src/config.rs
@@ -98,12 +98,6 @@
         (least..=most).contains(&allowance)
     }
 
-    /// The priority class of a caller's requests to a service.
-    pub fn class(&self, service: &Service, caller: &str) -> Option<&Class> {
-        let name = self.policy.classes.get(caller).unwrap_or(&service.class);
-        self.classes.get(name)
-    }
-
     /// The region that `domain` is in.
     pub fn region(&self, domain: &id::Domain) -> id::Region {
         self.regions.get(domain).cloned().unwrap_or_default()
@@ -114,6 +108,12 @@
         self.hosts_out.contains(host) || self.domains_out.contains(domain)
     }
 
+    /// The priority class of a caller's requests to a service.
+    pub fn class(&self, service: &Service, caller: &str) -> Option<&Class> {
+        let name = self.policy.classes.get(caller).unwrap_or(&service.class);
+        self.classes.get(name)
+    }
+
     /// All that makes the configuration unfit to be in force.
     pub fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
@@ -141,17 +141,17 @@
                 faults.push(format!("domains_out: no failure domain `{domain}`"));
             }
         }
+        for domain in self.regions.keys() {
+            if !self.domains.contains(domain) {
+                faults.push(format!("regions.{domain}: no failure domain `{domain}`"));
+            }
+        }
         for (caller, class) in &self.policy.classes {
             if !self.classes.contains_key(class) {
                 faults.push(format!("policy.classes.{caller}: no class `{class}`"));
             }
         }
         faults.extend(self.policy.faults());
-        for domain in self.regions.keys() {
-            if !self.domains.contains(domain) {
-                faults.push(format!("regions.{domain}: no failure domain `{domain}`"));
-            }
-        }
         if self.least_allowance_ms > self.most_allowance_ms {
             faults.push("least_allowance_ms: above most_allowance_ms".to_owned());
         }
