--- a/crates/lentillift-node/src/frame.rs
+++ b/crates/lentillift-node/src/frame.rs
@@ -12,22 +12,41 @@
 /// Length of the number that stands in front of a frame.
 const HEAD: usize = 4;
 
-/// Encodes messages as one frame.
+/// Size above which messages go into more than one frame, in bytes.
+///
+/// The reader counts what it allocates against [`LIMIT`], which may be more than what it reads.
+const FULL: usize = LIMIT / 2;
+
+/// Encodes messages as one frame, or as several where one would be too large.
+///
+/// Without the split 256 large messages that happen to be sent at once would make a frame that the
+/// peer refuses; the link would end and every request on it would be lost.
 ///
 /// # Errors
 ///
-/// When the frame would be larger than [`LIMIT`].
+/// When a single message is too large.
 pub fn encode(messages: Vec<Message>) -> Result<Bytes, String> {
     let messages: Vec<wire::Message> = messages.into_iter().map(Into::into).collect();
+    let mut frames = BytesMut::new();
+    put(&mut frames, &messages)?;
+    Ok(frames.freeze())
+}
+
+fn put(frames: &mut BytesMut, messages: &[wire::Message]) -> Result<(), String> {
     let config = bincode::config::standard();
     let body = bincode::encode_to_vec(messages, config).map_err(|e| e.to_string())?;
-    if body.len() > LIMIT {
-        return Err(format!("frame of {} bytes, at most {LIMIT}", body.len()));
+    if body.len() > FULL && messages.len() > 1 {
+        let (first, second) = messages.split_at(messages.len() / 2);
+        put(frames, first)?;
+        return put(frames, second);
+    }
+    if body.len() > FULL {
+        return Err(format!("message of {} bytes, at most {FULL}", body.len()));
     }
-    let mut frame = BytesMut::with_capacity(HEAD + body.len());
-    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    frame.extend_from_slice(&body);
-    Ok(frame.freeze())
+    frames.reserve(HEAD + body.len());
+    frames.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    frames.extend_from_slice(&body);
+    Ok(())
 }
 
 /// Takes the first frame off `buffer`, if it is there as a whole.
--- a/crates/lentillift-once/src/core.rs
+++ b/crates/lentillift-once/src/core.rs
@@ -33,6 +33,9 @@
 /// Hosts are under 1 ms apart and callers about 3 ms away.
 const MARGIN: Duration = Duration::from_millis(5);
 
+/// Largest allowance as long as there is no configuration that states one.
+const LONGEST_UNKNOWN: Duration = Duration::from_secs(10);
+
 /// Requests under way from one home at most; each holds its body, of 64 KB at most.
 const MOST_FLIGHTS: usize = 512;
 
@@ -249,7 +252,7 @@
 
     /// Takes a request from a caller, here or on behalf of its home elsewhere.
     fn call(&mut self, now: Time, request: id::Request, submit: Submit) -> Vec<Effect> {
-        let by = now + submit.allowance.saturating_sub(MARGIN);
+        let by = now + submit.allowance.min(self.longest()).saturating_sub(MARGIN);
         let asker = Asker::Caller(request);
         match submit.key.parse::<Key>() {
             Ok(key) if self.try_ids(&key).is_some() => self.serve(now, &key, submit, asker, by),
@@ -262,6 +265,15 @@
         }
     }
 
+    /// Longest time that a request is kept waiting, whatever its caller states.
+    ///
+    /// Twice what may be stated, so that its home still sees that too much was.
+    fn longest(&self) -> Duration {
+        let config = self.view.values.config.as_ref();
+        let most = config.map(|config| Duration::from_millis(config.most_allowance_ms));
+        most.unwrap_or(LONGEST_UNKNOWN).saturating_mul(2)
+    }
+
     /// Takes a request that an entry has passed on.
     fn submit(
         &mut self,
--- a/crates/lentillift-settings/src/jsonc.rs
+++ b/crates/lentillift-settings/src/jsonc.rs
@@ -1,5 +1,6 @@
 //! Reading JSON with comments.
 
+use crate::depth;
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
@@ -14,6 +15,7 @@
 where
     T: DeserializeOwned,
 {
+    depth::check(text).map_err(|e| Error::new(Step::Decode, name, e))?;
     let options = jsonc_parser::ParseOptions::default();
     let value = jsonc_parser::parse_to_serde_value(text, &options)
         .map_err(|e| Error::new(Step::Decode, name, e))?
--- a/crates/lentillift-settings/src/lib.rs
+++ b/crates/lentillift-settings/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod config;
 pub mod daemon;
+pub mod depth;
 pub mod jsonc;
 pub mod placement;
 pub mod policy;
