--- a/crates/lentillift-fleet/src/lib.rs
+++ b/crates/lentillift-fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod probe;
 pub mod read;
 pub mod rendezvous;
+pub mod seen;
 pub mod sync;
 pub mod value;
 pub mod view;
--- a/crates/lentillift-fleet/src/view.rs
+++ b/crates/lentillift-fleet/src/view.rs
@@ -1,6 +1,7 @@
 //! What one process holds to be true of the fleet at a point in time.
 
 use crate::rendezvous;
+use crate::seen::Seen;
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_settings::config::Config;
@@ -8,6 +9,8 @@
 use lentillift_settings::placement::Server;
 use lentillift_settings::placement::State;
 use lentillift_settings::roster::Roster;
+use serde::Deserialize;
+use serde::Serialize;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -86,7 +89,8 @@
 }
 
 /// An immutable picture of the fleet, made anew at each change; cloning it is cheap.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(from = "Seen", into = "Seen")]
 pub struct View {
     /// Changes with everything but [`Self::fresh_until`].
     pub generation: u64,
--- a/crates/lentillift-once/src/core.rs
+++ b/crates/lentillift-once/src/core.rs
@@ -33,6 +33,9 @@
 /// Hosts are under 1 ms apart and callers about 3 ms away.
 const MARGIN: Duration = Duration::from_millis(5);
 
+/// Largest allowance as long as there is no configuration that states one.
+const LONGEST_UNKNOWN: Duration = Duration::from_secs(10);
+
 /// Requests under way from one home at most; each holds its body, of 64 KB at most.
 const MOST_FLIGHTS: usize = 512;
 
@@ -197,7 +200,7 @@
             let refusal = Refusal::new(Cause::Leaving, "the process is ending");
             return Err(refusal.retry_after(RETRY_AFTER));
         }
-        self.check(service, caller)?;
+        self.check(now, service, caller)?;
         let share = self.share(caller).unwrap_or(Share {
             weight: 0,
             total: 1,
@@ -212,7 +215,17 @@
     }
 
     /// Checks that the configuration in force knows the caller, and the service as one of actions.
-    pub(crate) fn check(&self, service: &id::Service, caller: &id::Caller) -> Result<(), Refusal> {
+    pub(crate) fn check(
+        &self,
+        now: Time,
+        service: &id::Service,
+        caller: &id::Caller,
+    ) -> Result<(), Refusal> {
+        // A process that was paused or cut off knows nothing of what was taken out meanwhile.
+        if !self.view.fresh(now) {
+            let refusal = Refusal::new(Cause::Stale, "no fresh view of the fleet");
+            return Err(refusal.retry_after(RETRY_AFTER));
+        }
         let Some(config) = &self.view.values.config else {
             let refusal = Refusal::new(Cause::Stale, "no configuration yet");
             return Err(refusal.retry_after(RETRY_AFTER));
@@ -239,7 +252,7 @@
 
     /// Takes a request from a caller, here or on behalf of its home elsewhere.
     fn call(&mut self, now: Time, request: id::Request, submit: Submit) -> Vec<Effect> {
-        let by = now + submit.allowance.saturating_sub(MARGIN);
+        let by = now + submit.allowance.min(self.longest()).saturating_sub(MARGIN);
         let asker = Asker::Caller(request);
         match submit.key.parse::<Key>() {
             Ok(key) if self.try_ids(&key).is_some() => self.serve(now, &key, submit, asker, by),
@@ -252,6 +265,15 @@
         }
     }
 
+    /// Longest time that a request is kept waiting, whatever its caller states.
+    ///
+    /// Twice what may be stated, so that its home still sees that too much was.
+    fn longest(&self) -> Duration {
+        let config = self.view.values.config.as_ref();
+        let most = config.map(|config| Duration::from_millis(config.most_allowance_ms));
+        most.unwrap_or(LONGEST_UNKNOWN).saturating_mul(2)
+    }
+
     /// Takes a request that an entry has passed on.
     fn submit(
         &mut self,
--- a/crates/lentilliftd/src/lib.rs
+++ b/crates/lentilliftd/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod once;
 pub mod owner;
 pub mod peers;
+mod trace;
