Measure load patterns in virtual time

Cause: no figure showed what the decisions do for callers.

What it showed was mended: hedges have a budget large enough for a wide query and are tried again after a refusal; a long request, or one of a caller far over its share, leaves a slot to others; loads are counted after the queue has moved, for a caller without a backlog; a server that was taken out comes back cold.

--- a/crates/lentillift-entry/src/core/send.rs
+++ b/crates/lentillift-entry/src/core/send.rs
@@ -60,11 +60,14 @@
         let backend = self.choose(now, run, position, &tried)?;
         let query = self.queries.get_mut(&run)?;
         let pace = self.paces.entry(query.ask.service.clone()).or_default();
-        let load = self.loads.load(&self.policy.choice, now, &backend);
-        match pace.hedge.next(load) {
+        let busy = self.loads.is_busy(&self.policy.choice, now, &backend);
+        match pace.hedge.next(busy) {
             hedge::Next::Send => {}
             hedge::Next::Busy => {
                 self.counts.add("lentillift_hedges_busy_total");
+                if let Some(due) = pace.hedge.again(now) {
+                    self.flights.set_hedge(run, position, due);
+                }
                 return None;
             }
             hedge::Next::Spent => {
--- a/crates/lentillift-entry/src/core/settle.rs
+++ b/crates/lentillift-entry/src/core/settle.rs
@@ -81,14 +81,20 @@
         failure: Failure,
         outcome: Outcome,
     ) -> Option<Effect> {
-        let query = self.queries.get(&flight.run)?;
-        let State::Pending { tried } = &query.states[flight.position] else {
+        let query = self.queries.get_mut(&flight.run)?;
+        let State::Pending { tried } = &mut query.states[flight.position] else {
             return None;
         };
+        if flight.hedge && outcome == Outcome::NotRun {
+            tried.retain(|backend| *backend != flight.backend);
+        }
         let tried = tried.clone();
         let pace = self.paces.entry(query.ask.service.clone()).or_default();
         if flight.hedge && outcome == Outcome::NotRun {
             pace.hedge.refused();
+            if let Some(due) = pace.hedge.again(now) {
+                self.flights.set_hedge(flight.run, flight.position, due);
+            }
         }
         if self.flights.has_shard(flight.run, flight.position) {
             return None;
--- a/crates/lentillift-entry/src/flights.rs
+++ b/crates/lentillift-entry/src/flights.rs
@@ -108,6 +108,20 @@
         Some(flight.clone())
     }
 
+    /// Sets a new time for the hedge of a shard whose sub-request is under way.
+    pub fn set_hedge(&mut self, run: id::Request, position: usize, due: Time) {
+        let range = (run, position, 0)..=(run, position, id::Sub::MAX);
+        let Some((_, _, id)) = self.by_shard.range(range).next().copied() else {
+            return;
+        };
+        if let Some(flight) = self.flights.get_mut(&id) {
+            if let Some(old) = flight.hedge_at.replace(due) {
+                self.hedges.remove(&(old, id));
+            }
+            self.hedges.insert((due, id));
+        }
+    }
+
     /// How many sub-requests are under way.
     pub fn len(&self) -> usize {
         self.flights.len()
--- /dev/null
+++ b/crates/lentillift-entry/tests/bench/load.rs
@@ -0,0 +1,69 @@
+//! Streams of queries that arrive whatever becomes of the ones before.
+
+use super::backend::LONG;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+use lentillift_entry::answer::Ask;
+use rand::Rng;
+use rand::rngs::StdRng;
+use std::time::Duration;
+
+/// What a stream asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Body {
+    /// Something else each time.
+    Fresh,
+    /// Always the same.
+    Same,
+    /// Something else each time, that takes long.
+    Long,
+}
+
+/// A stream of queries with a fixed rate and exponential gaps.
+#[derive(Debug, Clone)]
+pub struct Stream {
+    /// Name under which results are counted.
+    pub label: &'static str,
+    pub caller: &'static str,
+    /// Queries a second.
+    pub rate: f64,
+    pub from: Time,
+    pub until: Time,
+    pub allowance: Duration,
+    pub body: Body,
+}
+
+impl Stream {
+    pub fn new(caller: &'static str, rate: f64, from: f64, until: f64) -> Self {
+        Self {
+            label: caller,
+            caller,
+            rate,
+            from: Duration::from_secs_f64(from),
+            until: Duration::from_secs_f64(until),
+            allowance: Duration::from_millis(130),
+            body: Body::Fresh,
+        }
+    }
+
+    pub fn ask(&self, service: &str, request: id::Request) -> Ask {
+        let body = match self.body {
+            Body::Fresh => format!("{request}"),
+            Body::Same => "same".to_owned(),
+            Body::Long => format!("{LONG}{request}"),
+        };
+        Ask {
+            service: service.into(),
+            caller: self.caller.into(),
+            allowance: self.allowance,
+            limit: 100,
+            least_coverage: 0.0,
+            body: body.into_bytes().into(),
+        }
+    }
+
+    pub fn gap(&self, rng: &mut StdRng) -> Duration {
+        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        Duration::from_secs_f64(-uniform.ln() / self.rate)
+    }
+}
--- /dev/null
+++ b/crates/lentillift-entry/tests/bench/mod.rs
@@ -0,0 +1,481 @@
+//! Real entries and owners, wired by an event queue in virtual time to fake backend servers.
+//!
+//! Nothing here decides anything: it delivers what entries and owners say, at a fixed delay, and
+//! notes what callers receive. All randomness comes from one fixed seed.
+
+#![allow(dead_code, unreachable_pub)]
+
+pub mod backend;
+pub mod load;
+pub mod patterns;
+pub mod report;
+
+use backend::End;
+use backend::Fake;
+use backend::Run;
+use backend::Start;
+use lentillift_core::id;
+use lentillift_core::snapshot::Map;
+use lentillift_core::snapshot::Part;
+use lentillift_core::sub;
+use lentillift_core::time::Time;
+use lentillift_entry::core as entry;
+use lentillift_entry::core::Entry;
+use lentillift_fleet::view::Values;
+use lentillift_fleet::view::View;
+use lentillift_owner::core as owner;
+use lentillift_owner::core::Owner;
+use lentillift_settings::config::Caller;
+use lentillift_settings::config::Class;
+use lentillift_settings::config::Config;
+use lentillift_settings::config::Kind;
+use lentillift_settings::config::Service;
+use lentillift_settings::placement::Placement;
+use lentillift_settings::placement::Server;
+use lentillift_settings::placement::State;
+use lentillift_settings::policy::Policy;
+use load::Stream;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use report::Caught;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// One way between two hosts.
+const HOP: Duration = Duration::from_micros(300);
+
+/// The only service.
+pub const SERVICE: &str = "search";
+
+/// The classes, by rank.
+pub const CLASSES: [&str; 3] = ["name", "timetable", "archive"];
+
+/// What is built.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    pub hosts: usize,
+    pub domains: usize,
+    pub shards: u32,
+    /// Replicas of each shard, each on a backend server of its own.
+    pub replicas: usize,
+    pub slots: u32,
+    pub queue_ms: u64,
+    /// Callers with their class and weight.
+    pub callers: Vec<(&'static str, &'static str, u32)>,
+    /// Time of an untroubled request.
+    pub service_time: Duration,
+    pub policy: Policy,
+    /// Factor of all times at which something happens; rates and allowances stay.
+    pub pace: f64,
+    pub seed: u64,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            hosts: 3,
+            domains: 3,
+            shards: 4,
+            replicas: 2,
+            slots: 2,
+            queue_ms: 100,
+            callers: vec![("reader", "name", 1)],
+            service_time: Duration::from_millis(5),
+            policy: Policy::default(),
+            pace: 1.0,
+            seed: 7,
+        }
+    }
+}
+
+/// What happens at a point in time.
+enum Event {
+    Entry(usize, entry::Event),
+    Owner(usize, owner::Event),
+    /// A request at a fake backend server ends.
+    End(id::Backend, Run, End),
+    /// The next query of a stream.
+    Arrive(usize),
+    Fault(Box<dyn FnOnce(&mut World)>),
+}
+
+struct Timed {
+    at: Time,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// Entries, owners, fake backend servers and callers.
+pub struct World {
+    pub now: Time,
+    queue: BinaryHeap<Reverse<Timed>>,
+    number: u64,
+    entries: Vec<Entry<StdRng>>,
+    owners: Vec<Owner>,
+    /// When each entry and owner last asked to be woken.
+    wakes: BTreeMap<(bool, usize), Time>,
+    pub backends: BTreeMap<id::Backend, Fake>,
+    streams: Vec<Stream>,
+    pub values: Values,
+    hosts: Vec<id::Host>,
+    pub caught: Caught,
+    pub counts: BTreeMap<&'static str, u64>,
+    next_request: id::Request,
+    pub pace: f64,
+    rng: StdRng,
+}
+
+/// Name of the replica `replica` of shard `shard`.
+pub fn backend(shard: u32, replica: usize) -> id::Backend {
+    format!("b{shard}-{replica}").into()
+}
+
+fn config(setup: &Setup) -> Config {
+    let service = Service {
+        kind: Kind::Search,
+        class: CLASSES[0].into(),
+        slots: setup.slots,
+        connections: 25,
+        cold_slots: 1,
+        connect_ms: 6,
+    };
+    let classes = (0..).zip(CLASSES).map(|(rank, name)| {
+        let queue_ms = setup.queue_ms;
+        (name.into(), Class { rank, queue_ms })
+    });
+    let callers = setup.callers.iter();
+    let mut policy = setup.policy.clone();
+    for (name, class, _) in &setup.callers {
+        policy.classes.insert((*name).into(), (*class).into());
+    }
+    Config {
+        revision: 1,
+        domains: (0..setup.domains).map(domain).collect(),
+        domains_out: Default::default(),
+        hosts_out: Default::default(),
+        classes: classes.collect(),
+        callers: callers
+            .map(|(name, _, weight)| ((*name).into(), Caller { weight: *weight }))
+            .collect(),
+        services: [(SERVICE.into(), service)].into(),
+        least_allowance_ms: 1,
+        most_allowance_ms: 60_000,
+        policy,
+    }
+}
+
+/// Name of failure domain `number`.
+pub fn domain(number: usize) -> id::Domain {
+    format!("d{number}").into()
+}
+
+fn placement(setup: &Setup) -> Placement {
+    let mut servers = BTreeMap::new();
+    let mut parts = Vec::new();
+    for shard in 0..setup.shards {
+        let replicas: Vec<_> = (0..setup.replicas).map(|r| backend(shard, r)).collect();
+        for (replica, name) in replicas.iter().enumerate() {
+            let server = Server {
+                address: ([127, 0, 0, 1], 1).into(),
+                domain: domain((shard as usize + replica) % setup.domains),
+                state: State::Live,
+            };
+            servers.insert(name.clone(), server);
+        }
+        parts.push(Part {
+            shard,
+            weight: 1,
+            replicas,
+        });
+    }
+    Placement {
+        revision: 1,
+        servers,
+        maps: vec![Map { snapshot: 1, parts }],
+    }
+}
+
+impl World {
+    pub fn new(setup: &Setup) -> Self {
+        let mut rng = StdRng::seed_from_u64(setup.seed);
+        let hosts: Vec<id::Host> = (0..setup.hosts).map(|n| format!("h{n}").into()).collect();
+        let placement = placement(setup);
+        let fake = |name: &id::Backend| (name.clone(), Fake::new(setup));
+        let backends = placement.servers.keys().map(fake).collect();
+        let near = |n: usize| domain(n % setup.domains);
+        let entries =
+            (0..setup.hosts).map(|n| Entry::new(StdRng::seed_from_u64(rng.random())).near(near(n)));
+        let entries = entries.collect();
+        let values = Values {
+            config: Some(Arc::new(config(setup))),
+            placements: [(SERVICE.into(), Arc::new(placement))].into(),
+            ..Values::default()
+        };
+        let mut world = Self {
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            number: 0,
+            entries,
+            owners: hosts.iter().cloned().map(Owner::new).collect(),
+            wakes: BTreeMap::new(),
+            backends,
+            streams: Vec::new(),
+            values,
+            hosts,
+            caught: Caught::default(),
+            counts: BTreeMap::new(),
+            next_request: 0,
+            pace: setup.pace,
+            rng,
+        };
+        world.publish(|_| {});
+        world
+    }
+
+    /// Changes the configuration and gives every process the new view.
+    pub fn publish(&mut self, change: impl FnOnce(&mut Config)) {
+        let mut config = (**self.values.config.as_ref().expect("a configuration")).clone();
+        change(&mut config);
+        self.values.config = Some(Arc::new(config));
+        let view = Arc::new(View::new(self.values.clone(), self.hosts.clone()));
+        for host in 0..self.hosts.len() {
+            self.push(
+                Duration::ZERO,
+                Event::Owner(host, owner::Event::View(view.clone())),
+            );
+            self.push(
+                Duration::ZERO,
+                Event::Entry(host, entry::Event::View(view.clone())),
+            );
+        }
+    }
+
+    /// Adds a stream of queries.
+    pub fn stream(&mut self, stream: Stream) {
+        let stream = Stream {
+            from: stream.from.mul_f64(self.pace),
+            until: stream.until.mul_f64(self.pace),
+            ..stream
+        };
+        let index = self.streams.len();
+        let from = stream.from;
+        self.streams.push(stream);
+        self.push(from.saturating_sub(self.now), Event::Arrive(index));
+    }
+
+    /// Makes something happen at a time.
+    pub fn at(&mut self, time: Time, fault: impl FnOnce(&mut World) + 'static) {
+        let after = time.mul_f64(self.pace).saturating_sub(self.now);
+        self.push(after, Event::Fault(Box::new(fault)));
+    }
+
+    /// Changes how a backend server behaves.
+    pub fn set(&mut self, backend: &id::Backend, change: impl FnOnce(&mut Fake)) {
+        change(self.backends.get_mut(backend).expect("a backend server"));
+    }
+
+    fn push(&mut self, after: Duration, event: Event) {
+        self.number += 1;
+        let at = self.now + after;
+        let number = self.number;
+        self.queue.push(Reverse(Timed { at, number, event }));
+    }
+
+    /// Runs until `end`.
+    pub fn run(&mut self, end: Time) {
+        let end = end.mul_f64(self.pace);
+        while let Some(Reverse(next)) = self.queue.peek()
+            && next.at <= end
+            && let Some(Reverse(next)) = self.queue.pop()
+        {
+            self.now = next.at;
+            self.step(next.event);
+        }
+        self.now = end;
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Entry(host, event) => self.enter(host, event),
+            Event::Owner(host, event) => self.own(host, event),
+            Event::End(backend, run, end) => self.end(&backend, run, end),
+            Event::Arrive(stream) => self.arrive(stream),
+            Event::Fault(fault) => fault(self),
+        }
+    }
+
+    fn enter(&mut self, host: usize, event: entry::Event) {
+        let effects = self.entries[host].handle(self.now, event);
+        for effect in effects {
+            match effect {
+                entry::Effect::Send { to, sub } => {
+                    let from = self.hosts[host].clone();
+                    self.tell(host, &to, owner::Event::Sub { from, sub });
+                }
+                entry::Effect::Cancel { to, id } => {
+                    let from = self.hosts[host].clone();
+                    self.tell(host, &to, owner::Event::Cancel { from, id });
+                }
+                entry::Effect::Answer { request, answer } => {
+                    self.caught.answer(self.now, request, &answer);
+                }
+                entry::Effect::Refuse { request, refusal } => {
+                    self.caught.refuse(self.now, request, &refusal);
+                }
+            }
+        }
+        self.count(host);
+        self.wake(true, host, self.entries[host].next_wake());
+    }
+
+    fn own(&mut self, host: usize, event: owner::Event) {
+        let effects = self.owners[host].handle(self.now, event);
+        for effect in effects {
+            match effect {
+                owner::Effect::Dispatch { ticket, sub, left } => {
+                    let run = Run {
+                        owner: host,
+                        ticket,
+                    };
+                    self.dispatch(run, &sub, left);
+                }
+                owner::Effect::Cancel { ticket, backend } => {
+                    let run = Run {
+                        owner: host,
+                        ticket,
+                    };
+                    self.end(&backend, run, End::Cancelled);
+                }
+                owner::Effect::Reply {
+                    to,
+                    id,
+                    result,
+                    load,
+                    ..
+                } => {
+                    let to_index = self.index(&to);
+                    let event = entry::Event::Reply { id, result, load };
+                    self.push(self.hop(host, to_index), Event::Entry(to_index, event));
+                }
+                owner::Effect::Note { .. } => {}
+            }
+        }
+        self.count(host);
+        self.wake(false, host, self.owners[host].next_wake());
+    }
+
+    fn count(&mut self, host: usize) {
+        let mine = self.entries[host].counts().take();
+        let owned = self.owners[host].counts().take();
+        for (name, count) in mine.into_iter().chain(owned) {
+            *self.counts.entry(name).or_default() += count;
+        }
+    }
+
+    /// Delivers a tick when it is due; one that comes too often does no harm.
+    fn wake(&mut self, entry: bool, host: usize, wake: Option<Time>) {
+        let Some(wake) = wake else {
+            return;
+        };
+        let known = self.wakes.get(&(entry, host)).copied();
+        if known.is_some_and(|known| known > self.now && known <= wake) {
+            return;
+        }
+        self.wakes.insert((entry, host), wake);
+        let event = match entry {
+            true => Event::Entry(host, entry::Event::Tick),
+            false => Event::Owner(host, owner::Event::Tick),
+        };
+        self.push(wake.saturating_sub(self.now), event);
+    }
+
+    fn index(&self, host: &id::Host) -> usize {
+        let at = self.hosts.iter().position(|h| h == host);
+        at.expect("a host of the fleet")
+    }
+
+    fn hop(&self, from: usize, to: usize) -> Duration {
+        match from == to {
+            true => Duration::ZERO,
+            false => HOP,
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: &id::Host, event: owner::Event) {
+        let to = self.index(to);
+        self.push(self.hop(from, to), Event::Owner(to, event));
+    }
+
+    fn dispatch(&mut self, run: Run, sub: &sub::Sub, left: Duration) {
+        self.caught.dispatched(left);
+        let fake = self.backends.get_mut(&sub.backend).expect("known");
+        let backend = sub.backend.clone();
+        match fake.start(run, sub, &mut self.rng) {
+            Start::Runs(time) => self.push(time, Event::End(backend.clone(), run, End::Done)),
+            Start::Hangs => {}
+            Start::Falls(all) => {
+                for run in all {
+                    let event = Event::End(backend.clone(), run, End::Broken);
+                    self.push(Duration::ZERO, event);
+                }
+            }
+        }
+        self.push(left, Event::End(backend, run, End::Late));
+    }
+
+    fn end(&mut self, backend: &id::Backend, run: Run, end: End) {
+        let fake = self.backends.get_mut(backend).expect("known");
+        let Some((result, report)) = fake.end(run, end) else {
+            return;
+        };
+        let event = owner::Event::Done {
+            ticket: run.ticket,
+            result,
+            report,
+        };
+        self.push(Duration::ZERO, Event::Owner(run.owner, event));
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let stream = &mut self.streams[index];
+        if self.now >= stream.until {
+            return;
+        }
+        self.next_request += 1;
+        let request = self.next_request;
+        let ask = stream.ask(SERVICE, request);
+        let gap = stream.gap(&mut self.rng);
+        let label = stream.label;
+        let host = self.rng.random_range(0..self.hosts.len());
+        self.caught.ask(self.now, request, label, &ask);
+        self.push(gap, Event::Arrive(index));
+        self.push(
+            Duration::ZERO,
+            Event::Entry(host, entry::Event::Ask { request, ask }),
+        );
+    }
+}
--- /dev/null
+++ b/crates/lentillift-entry/tests/bench/patterns.rs
@@ -0,0 +1,398 @@
+//! The load patterns.
+
+use super::Setup;
+use super::World;
+use super::backend;
+use super::backend::Says;
+use super::domain;
+use super::load::Body;
+use super::load::Stream;
+use super::report::Summary;
+use lentillift_settings::policy::Policy;
+use std::time::Duration;
+
+/// A load pattern.
+pub struct Pattern {
+    pub name: &'static str,
+    /// Runs it with and without its module.
+    pub run: fn() -> Vec<String>,
+}
+
+/// All patterns, in the order of the page that shows them.
+pub const ALL: &[Pattern] = &[
+    Pattern {
+        name: "burst of 10x for 2 s",
+        run: || both(burst, |p| p.queue.on = false, &["reader"]),
+    },
+    Pattern {
+        name: "caller at 20x its share",
+        run: || both(hot_caller, |p| p.queue.on = false, &["a", "b", "c"]),
+    },
+    Pattern {
+        name: "the same callers without that one",
+        run: || both(without_hot_caller, |p| p.queue.on = false, &["a", "b"]),
+    },
+    Pattern {
+        name: "one key at 50x",
+        run: || both(hot_key, |p| p.coalescing.on = false, &["reader", "hot"]),
+    },
+    Pattern {
+        name: "one server 10x slow, then hung",
+        run: || both(slow_server, without_avoidance, &["well", "slow", "hung"]),
+    },
+    Pattern {
+        name: "1% stragglers at 10x",
+        run: || both(stragglers, |p| p.hedge.on = false, &["reader"]),
+    },
+    Pattern {
+        name: "1 long job in 10, 2 slots",
+        run: || {
+            both(
+                long_jobs,
+                |p| p.queue.on = false,
+                &["before", "reader", "batch"],
+            )
+        },
+    },
+    Pattern {
+        name: "3x capacity for a minute",
+        run: || {
+            let off = |p: &mut Policy| {
+                p.admission.on = false;
+                p.queue.on = false;
+                p.retry.on = false;
+            };
+            both(overload, off, &["name", "archive", "after"])
+        },
+    },
+    Pattern {
+        name: "cold return under load",
+        run: || both(cold_return, |p| p.warmup.on = false, &["reader"]),
+    },
+    Pattern {
+        name: "reports that lie",
+        run: || {
+            let labels = ["truth", "idle", "full", "cold", "draining", "nothing"];
+            both(false_reports, without_avoidance, &labels)
+        },
+    },
+    Pattern {
+        name: "one of three domains out and back",
+        run: || {
+            both(
+                domain_out,
+                |p| p.warmup.on = false,
+                &["name", "timetable", "archive"],
+            )
+        },
+    },
+];
+
+fn without_avoidance(policy: &mut Policy) {
+    policy.choice.on = false;
+    policy.hedge.on = false;
+    policy.health.on = false;
+    policy.warmup.on = false;
+    policy.slots.on = false;
+}
+
+fn both(pattern: fn(Policy, f64) -> World, off: fn(&mut Policy), labels: &[&str]) -> Vec<String> {
+    let mut lines = Vec::new();
+    for (name, on) in [("on", true), ("off", false)] {
+        let mut policy = Policy::default();
+        if !on {
+            off(&mut policy);
+        }
+        let world = pattern(policy, 1.0);
+        for label in labels {
+            let summary = world.caught.summary(label, 0.0, 1e6);
+            lines.push(format!("{name:>3} | {label:>9} | {summary}"));
+        }
+        let falls: u64 = world.backends.values().map(|b| b.falls).sum();
+        lines.push(format!(
+            "{name:>3} | runs {} | sent late {} | falls {falls} | {:?}",
+            world.caught.runs, world.caught.sent_late, world.counts
+        ));
+    }
+    lines
+}
+
+/// The queries of `label` that were asked from `from` to `until`, in seconds.
+pub fn summary(world: &World, label: &str, from: f64, until: f64) -> Summary {
+    let pace = world.pace;
+    world.caught.summary(label, from * pace, until * pace)
+}
+
+/// Four shards with two replicas of two slots bear 800 queries a second. One fifth of that is
+/// asked, and ten times as much for two seconds.
+pub fn burst(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    world.stream(Stream::new("reader", 160.0, 0.0, 8.0));
+    world.stream(Stream::new("reader", 1440.0, 3.0, 5.0));
+    world.run(Duration::from_secs(9));
+    world
+}
+
+/// Three callers with the same weight; the third asks for twenty times as much as the others.
+pub fn hot_caller(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        callers: vec![("a", "name", 1), ("b", "name", 1), ("c", "name", 1)],
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    others(&mut world);
+    world.stream(Stream::new("c", 1000.0, 5.0, 40.0));
+    world.run(Duration::from_secs(41));
+    world
+}
+
+fn others(world: &mut World) {
+    for (label, from, until) in [("before", 0.0, 5.0), ("a", 5.0, 40.0)] {
+        world.stream(Stream {
+            label,
+            ..Stream::new("a", 50.0, from, until)
+        });
+    }
+    for (label, from, until) in [("before", 0.0, 5.0), ("b", 5.0, 40.0)] {
+        world.stream(Stream {
+            label,
+            ..Stream::new("b", 50.0, from, until)
+        });
+    }
+}
+
+/// The same two callers without the third.
+pub fn without_hot_caller(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        callers: vec![("a", "name", 1), ("b", "name", 1), ("c", "name", 1)],
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    others(&mut world);
+    world.run(Duration::from_secs(41));
+    world
+}
+
+/// One body is asked for fifty times as often as all others together.
+pub fn hot_key(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    world.stream(Stream::new("reader", 40.0, 0.0, 10.0));
+    world.stream(Stream {
+        label: "hot",
+        body: Body::Same,
+        ..Stream::new("reader", 2000.0, 0.0, 10.0)
+    });
+    world.run(Duration::from_secs(11));
+    world
+}
+
+fn wide(policy: Policy, pace: f64) -> World {
+    World::new(&Setup {
+        shards: 68,
+        hosts: 6,
+        policy,
+        pace,
+        ..Setup::default()
+    })
+}
+
+/// 68 shards at a quarter of their capacity. After ten seconds one server takes ten times as long,
+/// after twenty it hangs.
+pub fn slow_server(policy: Policy, pace: f64) -> World {
+    let mut world = wide(policy, pace);
+    for (label, from, until) in [
+        ("warm", 0.0, 5.0),
+        ("well", 5.0, 10.0),
+        ("slow", 10.0, 20.0),
+        ("hung", 20.0, 30.0),
+    ] {
+        world.stream(Stream {
+            label,
+            ..Stream::new("reader", 200.0, from, until)
+        });
+    }
+    world.at(Duration::from_secs(10), |w| {
+        w.set(&backend(0, 0), |b| b.slow = 10.0)
+    });
+    world.at(Duration::from_secs(20), |w| {
+        w.set(&backend(0, 0), |b| b.hung = true)
+    });
+    world.run(Duration::from_secs(31));
+    world
+}
+
+/// One request in a hundred takes ten times as long.
+pub fn stragglers(policy: Policy, pace: f64) -> World {
+    let mut world = wide(policy, pace);
+    for fake in world.backends.values_mut() {
+        fake.stragglers = 0.01;
+    }
+    for (label, from, until) in [("warm", 0.0, 5.0), ("reader", 5.0, 25.0)] {
+        world.stream(Stream {
+            label,
+            ..Stream::new("reader", 150.0, from, until)
+        });
+    }
+    world.run(Duration::from_secs(26));
+    world
+}
+
+/// One caller's requests take twenty times as long as those of the other, who asks ten times as
+/// often; before that the other is alone.
+pub fn long_jobs(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        callers: vec![("reader", "name", 1), ("batch", "name", 1)],
+        shards: 1,
+        replicas: 2,
+        queue_ms: 2000,
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    let allowance = Duration::from_secs(2);
+    for (label, from, until) in [("before", 0.0, 20.0), ("reader", 20.0, 60.0)] {
+        world.stream(Stream {
+            label,
+            allowance,
+            ..Stream::new("reader", 100.0, from, until)
+        });
+    }
+    world.stream(Stream {
+        body: Body::Long,
+        allowance,
+        ..Stream::new("batch", 10.0, 20.0, 60.0)
+    });
+    world.run(Duration::from_secs(62));
+    world
+}
+
+/// Four shards bear 1,600 sub-requests... of each replica pair; 800 queries a second in all. Name
+/// search asks for half of that and the archive for five halves.
+pub fn overload(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        callers: vec![("name", "name", 1), ("archive", "archive", 1)],
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    world.stream(Stream {
+        label: "before",
+        ..Stream::new("name", 300.0, 0.0, 5.0)
+    });
+    world.stream(Stream::new("name", 400.0, 5.0, 65.0));
+    world.stream(Stream::new("archive", 2000.0, 5.0, 65.0));
+    world.stream(Stream {
+        label: "recovery",
+        ..Stream::new("archive", 300.0, 65.0, 70.0)
+    });
+    world.stream(Stream {
+        label: "after",
+        ..Stream::new("archive", 300.0, 70.0, 75.0)
+    });
+    world.run(Duration::from_secs(76));
+    world
+}
+
+/// A server restarts without notice under 70% load and needs a hundred requests to be warm; while
+/// it has more than one at a time it falls over. A second one follows, and one restarts again
+/// during its ramp.
+pub fn cold_return(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    world.stream(Stream::new("reader", 560.0, 0.0, 30.0));
+    let chill = |at: f64, shard: u32| (Duration::from_secs_f64(at), shard);
+    for (at, shard) in [chill(10.0, 0), chill(10.0, 1), chill(10.3, 0)] {
+        world.at(at, move |w| {
+            w.set(&backend(shard, 0), |b| {
+                b.cold = 100;
+                b.incarnation = Some(b.incarnation.unwrap_or(1) + 1);
+            });
+        });
+    }
+    world.run(Duration::from_secs(31));
+    world
+}
+
+/// Three replicas of each shard in three domains at 70% of the capacity; one domain is taken out,
+/// and comes back cold.
+pub fn domain_out(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        callers: vec![
+            ("name", "name", 1),
+            ("timetable", "timetable", 1),
+            ("archive", "archive", 1),
+        ],
+        replicas: 3,
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    for (caller, rate) in [("name", 280.0), ("timetable", 280.0), ("archive", 280.0)] {
+        world.stream(Stream::new(caller, rate, 0.0, 40.0));
+    }
+    world.at(Duration::from_secs(10), |w| {
+        w.publish(|c| {
+            c.domains_out.insert(domain(0));
+        });
+    });
+    world.at(Duration::from_secs(20), |w| {
+        for shard in 0..4 {
+            for replica in 0..3 {
+                if (shard + replica) % 3 == 0 {
+                    w.set(&backend(shard, replica as usize), |b| b.cold = 100);
+                }
+            }
+        }
+        w.publish(|c| c.domains_out.clear());
+    });
+    world.run(Duration::from_secs(41));
+    world
+}
+
+/// One replica of each shard reports something else every ten seconds, whatever is true; at first
+/// that it is idle while it is slow. The load is a quarter of the capacity.
+pub fn false_reports(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    let phases = [
+        ("truth", Says::Truth),
+        ("idle", Says::Idle),
+        ("full", Says::Full),
+        ("cold", Says::Cold),
+        ("draining", Says::Draining),
+        ("nothing", Says::Nothing),
+    ];
+    for (number, (label, says)) in phases.into_iter().enumerate() {
+        let from = 10.0 * number as f64;
+        world.stream(Stream {
+            label,
+            ..Stream::new("reader", 200.0, from, from + 10.0)
+        });
+        world.at(Duration::from_secs_f64(from), move |w| {
+            for shard in 0..4 {
+                w.set(&backend(shard, 0), |b| {
+                    b.says = says;
+                    b.slow = if says == Says::Idle { 10.0 } else { 1.0 };
+                });
+            }
+        });
+    }
+    world.run(Duration::from_secs(61));
+    world
+}
--- a/crates/lentillift-owner/src/core.rs
+++ b/crates/lentillift-owner/src/core.rs
@@ -18,6 +18,7 @@
 use lentillift_fleet::view::View;
 use lentillift_policy::cost::Costs;
 use lentillift_policy::count::Counts;
+use lentillift_policy::queue::Turn;
 use lentillift_settings::config::Config;
 use lentillift_settings::policy::Policy;
 use std::collections::BTreeSet;
@@ -148,7 +149,7 @@
                 ticket,
                 result,
                 report,
-            } => self.done(now, ticket, &result, &report),
+            } => self.done(now, ticket, result, &report),
             Event::Tick => self.tick(now),
             Event::View(view) => self.refit(now, view),
         }
@@ -185,10 +186,10 @@
         if let Some(failure) = self.objection(now, &waiting.sub) {
             return vec![self.refuse(now, waiting, failure)];
         }
-        if waiting.sub.hedge && !self.takes_hedge(now, &backend) {
+        let job = self.job(now, &service, &waiting);
+        if waiting.sub.hedge && (job.long || !self.takes_hedge(now, &backend)) {
             return vec![self.refuse(now, waiting, Failure::Refused)];
         }
-        let job = self.job(now, &service, &waiting);
         if let Some(failure) = self.is_hopeless(now, &service, &waiting, &job) {
             return vec![self.refuse(now, waiting, failure)];
         }
@@ -223,16 +224,18 @@
         }
         while let Some(server) = self.servers.get_mut(backend)
             && server.has_room(&self.policy, now)
-            && let Some((ticket, job, waiting)) =
-                server.queue.pop(server.takes_long(&self.policy, now))
+            && let slot = server.slot(&self.policy, now)
+            && let Some(turn) = server.queue.pop(&self.policy.queue, now, slot)
         {
-            effects.push(self.send(now, ticket, job.long, waiting));
+            effects.push(self.send(now, turn));
         }
         self.set_wake(backend);
         effects
     }
 
-    fn send(&mut self, now: Time, ticket: Ticket, long: bool, waiting: Waiting) -> Effect {
+    fn send(&mut self, now: Time, turn: Turn<Waiting>) -> Effect {
+        let ticket = turn.ticket;
+        let waiting = turn.item;
         // Asked again at the dispatch: the domain may have been taken out while it waited.
         let failure = match waiting.deadline <= now {
             true => Some(Failure::Refused),
@@ -242,7 +245,7 @@
             return self.refuse(now, waiting, failure);
         }
         if let Some(server) = self.servers.get_mut(&waiting.sub.backend) {
-            server.sent(ticket, now, long);
+            server.sent(ticket, now, turn.heavy);
         }
         let flight = Flight {
             from: waiting.from,
@@ -251,7 +254,7 @@
             backend: waiting.sub.backend.clone(),
             caller: waiting.sub.caller.clone(),
             since: now,
-            long,
+            long: turn.job.long,
             cancelled: false,
         };
         self.flights.insert(ticket, flight);
@@ -280,7 +283,7 @@
         &mut self,
         now: Time,
         ticket: Ticket,
-        result: &sub::Result,
+        result: sub::Result,
         report: &Report,
     ) -> Vec<Effect> {
         let Some(flight) = self.flights.remove(&ticket) else {
@@ -288,26 +291,26 @@
         };
         let backend = flight.backend.clone();
         self.forget(&flight.from, flight.id, flight.desk, Some(ticket));
-        self.note_cost(now, &flight, result);
+        self.note_cost(now, &flight, &result);
         let mut effects = Vec::new();
-        if timed_out(result) && !flight.cancelled {
+        if timed_out(&result) && !flight.cancelled {
             // The server may go on with it, for nobody.
             let backend = backend.clone();
             effects.push(Effect::Cancel { ticket, backend });
         }
         if let Some(server) = self.servers.get_mut(&backend) {
-            let changes = server.done(&self.policy, now, ticket, &flight, result, report);
+            let changes = server.done(&self.policy, now, ticket, &flight, &result, report);
             effects.extend(self.tell(&backend, changes));
         }
+        effects.extend(self.turn_away(now, &backend));
+        effects.extend(self.pump(now, &backend));
         effects.push(Effect::Reply {
+            load: self.load(now, &backend, &flight.caller),
             to: flight.from,
             desk: flight.desk,
             id: flight.id,
-            result: result.clone(),
-            load: self.load(now, &backend, &flight.caller),
+            result,
         });
-        effects.extend(self.turn_away(now, &backend));
-        effects.extend(self.pump(now, &backend));
         self.drop_if_lost(&backend);
         effects
     }
@@ -339,11 +342,14 @@
     /// Were it left waiting, it would be told so only when its time is up, too late for another
     /// replica.
     fn turn_away(&mut self, now: Time, backend: &id::Backend) -> Vec<Effect> {
+        let Some(server) = self.servers.get_mut(backend) else {
+            return Vec::new();
+        };
+        if server.limit(&self.policy, now) > 0 {
+            return Vec::new();
+        }
         let mut effects = Vec::new();
-        while let Some(server) = self.servers.get_mut(backend)
-            && server.limit(&self.policy, now) == 0
-            && let Some((_, _, waiting)) = server.queue.pop(true)
-        {
+        for waiting in server.queue.drain() {
             let failure = self.objection(now, &waiting.sub);
             effects.push(self.refuse(now, waiting, failure.unwrap_or(Failure::Refused)));
         }
--- a/crates/lentillift-owner/src/core/intake.rs
+++ b/crates/lentillift-owner/src/core/intake.rs
@@ -105,6 +105,7 @@
     /// Answers a sub-request that certainly was not sent.
     pub(super) fn refuse(&mut self, now: Time, waiting: Waiting, failure: Failure) -> Effect {
         self.counts.add(match failure {
+            _ if waiting.sub.hedge => "lentillift_owner_refused_hedges_total",
             Failure::Cold => "lentillift_owner_refused_cold_total",
             Failure::NotOwner | Failure::Out => "lentillift_owner_misrouted_total",
             Failure::Connection => "lentillift_owner_refused_unwell_total",
@@ -134,8 +135,8 @@
             .get(&self.view.backends.get(backend)?.service)?;
         let job = Job {
             rank: config.class(service, caller).map_or(0, |class| class.rank),
-            caller: caller.clone(),
-            weight: config.callers.get(caller).map_or(1, |c| c.weight),
+            caller: "".into(),
+            weight: 1,
             cost: Duration::ZERO,
             long: false,
             expiry: now,
--- a/crates/lentillift-owner/src/core/refit.rs
+++ b/crates/lentillift-owner/src/core/refit.rs
@@ -46,11 +46,9 @@
         }
         let mut effects = Vec::new();
         if !owned || service.is_none() || !self.view.in_service(backend) {
-            let mut waiting = Vec::new();
-            while let Some((_, _, next)) = server.queue.pop(true) {
-                waiting.push(next);
-            }
-            for waiting in waiting {
+            // Whatever it was taken out for, it may come back with empty caches.
+            server.warmup.chill(&self.policy.warmup);
+            for waiting in server.queue.drain() {
                 let failure = self.objection(now, &waiting.sub);
                 effects.push(self.refuse(now, waiting, failure.unwrap_or(Failure::NotOwner)));
             }
--- a/crates/lentillift-owner/src/server.rs
+++ b/crates/lentillift-owner/src/server.rs
@@ -14,6 +14,7 @@
 use lentillift_policy::latency::Latency;
 use lentillift_policy::queue::Job;
 use lentillift_policy::queue::Queue;
+use lentillift_policy::queue::Slot;
 use lentillift_policy::queue::Ticket;
 use lentillift_policy::slots;
 use lentillift_policy::slots::Slots;
@@ -30,7 +31,7 @@
 struct Running {
     ticket: Ticket,
     since: Time,
-    long: bool,
+    heavy: bool,
 }
 
 /// A change of state worth telling an operator.
@@ -150,10 +151,13 @@
         self.in_flight() < self.limit(policy, now)
     }
 
-    /// Whether one more long request would leave a slot to short ones, where there are two.
-    pub fn takes_long(&self, policy: &Policy, now: Time) -> bool {
-        let long = self.running.iter().filter(|running| running.long).count() as u32;
-        long < self.limit(policy, now).saturating_sub(1).max(1)
+    /// The slot that the next request would get.
+    pub fn slot(&self, policy: &Policy, now: Time) -> Slot {
+        let heavy = self.running.iter().filter(|running| running.heavy).count() as u32;
+        match heavy < self.limit(policy, now).saturating_sub(1).max(1) {
+            true => Slot::Open,
+            false => Slot::Reserved,
+        }
     }
 
     /// Time that a request of a caller whose requests usually cost `cost` will take.
@@ -200,11 +204,11 @@
     }
 
     /// Notes that a request was sent.
-    pub fn sent(&mut self, ticket: Ticket, now: Time, long: bool) {
+    pub fn sent(&mut self, ticket: Ticket, now: Time, heavy: bool) {
         self.running.push(Running {
             ticket,
             since: now,
-            long,
+            heavy,
         });
     }
 
--- a/crates/lentillift-policy/src/admission.rs
+++ b/crates/lentillift-policy/src/admission.rs
@@ -16,20 +16,14 @@
 //! own effect. Down 10%, up 5%: about two windows in three are free of refusals. Below 2% of
 //! queries with refusals there is no overload but chance.
 
+use crate::share::Shares;
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_settings::policy::Admission as Options;
 use lentillift_settings::policy::millis;
 use std::cmp::Ordering;
-use std::collections::HashMap;
 use std::time::Duration;
 
-/// Callers whose use is remembered at most; anybody can invent a name.
-const MOST_CALLERS: usize = 4096;
-
-/// Time over which a caller's use is averaged.
-const MEMORY: f64 = 1.0;
-
 /// Queries in a window from which its share of refusals means something.
 const LEAST_QUERIES: u64 = 5;
 
@@ -91,14 +85,6 @@
     taken: f64,
 }
 
-/// A caller's use, averaged over [`MEMORY`].
-#[derive(Debug, Clone, Copy)]
-struct Usage {
-    rate: f64,
-    at: Time,
-    weight: u32,
-}
-
 /// The gate in force.
 #[derive(Debug, Clone, Copy)]
 struct Gate {
@@ -119,10 +105,7 @@
 pub struct Admission {
     window: Window,
     gate: Option<Gate>,
-    // INVARIANT: At most `MOST_CALLERS` long.
-    callers: HashMap<id::Caller, Usage>,
-    /// Weight of all callers in `callers`.
-    weight: u64,
+    shares: Shares,
 }
 
 impl Admission {
@@ -144,7 +127,8 @@
             }
             gate.tokens = (gate.tokens - cost).max(-depth);
         }
-        self.note_taken(now, ask, cost);
+        self.window.taken += cost;
+        self.shares.note(now, &ask.caller, ask.weight, cost);
         Next::Take
     }
 
@@ -168,29 +152,11 @@
 
     /// Whether a caller has used more than its share of the rate lately.
     fn is_over_share(&self, now: Time, ask: &Ask, cost: f64) -> bool {
-        let (Some(gate), Some(usage)) = (&self.gate, self.callers.get(&ask.caller)) else {
+        let Some(gate) = &self.gate else {
             return false;
         };
-        let all = self.weight.max(1) as f64;
-        let share = gate.rate * f64::from(ask.weight.max(1)) / all;
-        usage.decayed(now) + cost / MEMORY > share.max(cost / MEMORY)
-    }
-
-    fn note_taken(&mut self, now: Time, ask: &Ask, cost: f64) {
-        self.window.taken += cost;
-        if let Some(usage) = self.callers.get_mut(&ask.caller) {
-            usage.rate = usage.decayed(now) + cost / MEMORY;
-            usage.at = now;
-        } else if self.callers.len() < MOST_CALLERS {
-            let weight = ask.weight.max(1);
-            self.weight += u64::from(weight);
-            let usage = Usage {
-                rate: cost / MEMORY,
-                at: now,
-                weight,
-            };
-            self.callers.insert(ask.caller.clone(), usage);
-        }
+        let share = gate.rate * self.shares.share(&ask.caller);
+        self.shares.rate(now, &ask.caller) + cost > share.max(cost)
     }
 
     /// Closes the window when its time is over, and sets the rate by it.
@@ -201,7 +167,6 @@
         }
         let window = std::mem::take(&mut self.window);
         self.window.since = now;
-        self.forget_callers(now);
         let seconds = length.as_secs_f64();
         let refused = 100 * window.refused >= u64::from(options.refused_percent) * window.queries;
         match window.worst_off {
@@ -247,19 +212,6 @@
             self.gate = None;
         }
     }
-
-    /// Forgets callers that have used next to nothing lately, once a window.
-    fn forget_callers(&mut self, now: Time) {
-        self.callers.retain(|_, usage| usage.decayed(now) > 0.05);
-        self.weight = self.callers.values().map(|u| u64::from(u.weight)).sum();
-    }
-}
-
-impl Usage {
-    fn decayed(&self, now: Time) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.rate * (-age / MEMORY).exp()
-    }
 }
 
 impl Gate {
--- a/crates/lentillift-policy/src/budget.rs
+++ b/crates/lentillift-policy/src/budget.rs
@@ -7,9 +7,12 @@
 /// Price of one extra request, in hundredths; each ordinary one earns its percentage.
 const PRICE: u64 = 100;
 
-/// Extra requests that can be saved up. A service with few queries can still hedge now and then,
+/// Extra requests that can be saved up: a query of 68 shards can send all that it is due at once,
 /// and a service that was calm for an hour can't send a storm.
-const MOST: u64 = 10;
+const MOST: u64 = 100;
+
+/// Extra requests that can be sent before any has been earned.
+const FIRST: u64 = 10;
 
 /// A budget of extra requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,7 +24,7 @@
 impl Default for Budget {
     fn default() -> Self {
         Self {
-            saved: MOST * PRICE,
+            saved: FIRST * PRICE,
         }
     }
 }
--- a/crates/lentillift-policy/src/choice.rs
+++ b/crates/lentillift-policy/src/choice.rs
@@ -87,6 +87,18 @@
         fresh.then_some(&known.load)
     }
 
+    /// Whether `backend` is known to be of no use for a hedge: cold, or with others waiting.
+    ///
+    /// That others wait is believed for as long as their wait was to take.
+    pub fn is_busy(&self, options: &Options, now: Time, backend: &str) -> bool {
+        let Some(load) = self.load(options, now, backend) else {
+            return false;
+        };
+        let at = self.known.get(backend).and_then(|known| known.at);
+        let age = now.saturating_sub(at.unwrap_or_default());
+        load.cold || load.limit == 0 || (load.queued > 0 && age < load.wait)
+    }
+
     /// Time until a further sub-request to `backend` would be answered.
     pub fn expected(&self, options: &Options, now: Time, backend: &str) -> Duration {
         let Some(known) = self.known.get(backend) else {
--- a/crates/lentillift-policy/src/hedge.rs
+++ b/crates/lentillift-policy/src/hedge.rs
@@ -11,7 +11,6 @@
 
 use crate::budget::Budget;
 use hdrhistogram::Histogram;
-use lentillift_core::sub::Load;
 use lentillift_core::time::Time;
 use lentillift_settings::policy::Hedge as Options;
 use lentillift_settings::policy::millis;
@@ -26,12 +25,19 @@
 /// Rounds that a history keeps.
 const HISTORY: usize = 4;
 
+/// Part of the wait before a hedge after which one that was refused is tried again: a slot comes
+/// free several times in that time.
+const AGAIN: u32 = 2;
+
 /// What to do about a sub-request that has not been answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Next {
     /// Ask the second replica.
     Send,
-    /// The second replica is cold, full or not known well enough.
+    /// The second replica is known to be cold, or to have others waiting.
+    ///
+    /// Whether it has a free slot is known exactly to its owner alone, which refuses the hedge
+    /// otherwise.
     Busy,
     /// The budget is spent.
     Spent,
@@ -88,10 +94,9 @@
         }
     }
 
-    /// Whether to ask a second replica whose load was last told to be `load`.
-    pub fn next(&mut self, load: Option<&Load>) -> Next {
-        let free = |load: &Load| !load.cold && load.queued == 0 && load.running < load.limit;
-        if !load.is_some_and(free) {
+    /// Whether to ask a second replica, which may be known to be `busy`.
+    pub fn next(&mut self, busy: bool) -> Next {
+        if busy {
             return Next::Busy;
         }
         match self.budget.spend() {
@@ -104,4 +109,9 @@
     pub fn refused(&mut self) {
         self.budget.refund();
     }
+
+    /// When to try again after a hedge that was refused or could not be sent.
+    pub fn again(&self, now: Time) -> Option<Time> {
+        Some(now + self.delay? / AGAIN)
+    }
 }
--- a/crates/lentillift-policy/src/lib.rs
+++ b/crates/lentillift-policy/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod partial;
 pub mod queue;
 pub mod retry;
+pub mod share;
 pub mod slots;
 pub mod warmup;
--- a/crates/lentillift-policy/src/queue.rs
+++ b/crates/lentillift-policy/src/queue.rs
@@ -11,20 +11,52 @@
 //!   thousand quanta.
 //! - A request leaves when it expires, whether or not a slot is free; what can't be served before
 //!   its expiry is not taken in at all ([`Queue::ahead`]).
-//! - Long requests are passed over while they would take the last free slot.
+//! - Long requests, and those of a caller that has had far more than its share lately, leave one
+//!   slot to the others ([`Slot::Reserved`]), who would else wait for their end.
+//!
+//! Figures: with 2 slots the reserved one is half of the capacity, which only those lose who take
+//! more than the others; a caller is far over its share from one and a half times it, which two callers with the
+//! same weight reach when one has three quarters.
 //!
 //! The length is bounded by time: whoever arrives is told at once if its turn would come too late.
 
+use crate::share::Shares;
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use lentillift_settings::policy::Queue as Options;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// Callers that are looked at for the reserved slot; with more of them none is far over its share.
+const LANES: usize = 8;
+
 /// Number of a request; later ones have higher numbers.
 pub type Ticket = u64;
 
+/// The free slot that a request is wanted for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Slot {
+    /// One that anything may have.
+    Open,
+    /// The last one that is left to short requests of callers within their shares.
+    Reserved,
+}
+
+/// A request whose turn it is.
+#[derive(Debug)]
+pub struct Turn<T> {
+    /// Its number.
+    pub ticket: Ticket,
+    /// What the queue was told of it.
+    pub job: Job,
+    /// The request.
+    pub item: T,
+    /// Whether it is long, or its caller far over its share.
+    pub heavy: bool,
+}
+
 /// What the queue needs to know of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Job {
@@ -77,6 +109,7 @@
     work: Duration,
     /// Weight of all lanes with a request.
     weight: u64,
+    shares: Shares,
 }
 
 /// Requests that wait for a slot of one backend server.
@@ -97,6 +130,7 @@
             clock: 0,
             work: Duration::ZERO,
             weight: 0,
+            shares: Shares::default(),
         }
     }
 }
@@ -145,7 +179,10 @@
     /// Forgets lanes without a request that have no debt left.
     fn forget(&mut self) {
         if self.weight == 0 {
-            *self = Self::default();
+            *self = Self {
+                shares: std::mem::take(&mut self.shares),
+                ..Self::default()
+            };
         }
         while let Some((start, _)) = self.idle.first()
             && *start <= self.clock
@@ -191,18 +228,23 @@
     }
 
     /// The caller whose turn it is.
-    fn turn(&self, long: bool) -> Option<id::Caller> {
+    fn turn(&self, now: Time, slot: Slot, excess: f64) -> Option<id::Caller> {
         let short = self.short.first();
-        let next = match (short, self.long.first()) {
-            (Some(a), Some(b)) if long => Some(a.min(b)),
-            (None, Some(b)) if long => Some(b),
-            (a, _) => a,
+        let next = match slot {
+            Slot::Open => short.into_iter().chain(self.long.first()).min(),
+            Slot::Reserved => {
+                let within = |(_, caller): &&(u64, id::Caller)| {
+                    excess <= 0.0 || self.shares.excess(now, caller) < excess
+                };
+                self.short.iter().take(LANES).find(within)
+            }
         };
         next.map(|(_, caller)| caller.clone())
     }
 
-    fn pop(&mut self, long: bool) -> Option<(Ticket, Waiting<T>)> {
-        let caller = self.turn(long)?;
+    fn pop(&mut self, now: Time, slot: Slot, excess: f64) -> Option<Turn<T>> {
+        let caller = self.turn(now, slot, excess)?;
+        let over = excess > 0.0 && self.shares.excess(now, &caller) >= excess;
         let lane = self.lanes.get(&caller)?;
         let ticket = *lane.waiting.first_key_value()?.0;
         self.clock = lane.start;
@@ -211,10 +253,16 @@
         if let Some(lane) = self.lanes.get_mut(&caller) {
             let cost = waiting.job.cost.as_micros().max(1) as u64;
             lane.start += (cost / u64::from(lane.weight)).max(1);
+            self.shares.note(now, &caller, lane.weight, cost as f64);
         }
         self.link(&caller);
         self.forget();
-        Some((ticket, waiting))
+        Some(Turn {
+            ticket,
+            heavy: waiting.job.long || over,
+            job: waiting.job,
+            item: waiting.item,
+        })
     }
 }
 
@@ -227,13 +275,26 @@
         band.push(ticket, job, item);
     }
 
-    /// Takes the next request to send; with `long` unset, a short one.
-    pub fn pop(&mut self, long: bool) -> Option<(Ticket, Job, T)> {
+    /// Takes the next request to send.
+    pub fn pop(&mut self, options: &Options, now: Time, slot: Slot) -> Option<Turn<T>> {
+        let excess = f64::from(options.excess_percent) / 100.0;
         let mut bands = self.bands.values_mut();
-        let (ticket, waiting) = bands.find_map(|band| band.pop(long))?;
-        self.places.remove(&ticket);
-        self.expiries.remove(&(waiting.job.expiry, ticket));
-        Some((ticket, waiting.job, waiting.item))
+        let turn = bands.find_map(|band| band.pop(now, slot, excess))?;
+        self.places.remove(&turn.ticket);
+        self.expiries.remove(&(turn.job.expiry, turn.ticket));
+        Some(turn)
+    }
+
+    /// Takes out all requests.
+    pub fn drain(&mut self) -> Vec<T> {
+        let queue = std::mem::take(self);
+        let lanes = queue
+            .bands
+            .into_values()
+            .flat_map(|band| band.lanes.into_values());
+        let waiting = lanes.flat_map(|lane| lane.waiting);
+        let waiting: BTreeMap<Ticket, Waiting<T>> = waiting.collect();
+        waiting.into_values().map(|waiting| waiting.item).collect()
     }
 
     /// Takes out a request.
--- a/crates/lentillift-settings/src/policy.rs
+++ b/crates/lentillift-settings/src/policy.rs
@@ -74,6 +74,9 @@
     pub on: bool,
     /// How many times the service's usual time a long request takes at least.
     pub long_factor: u32,
+    /// Use from which a caller leaves the last slot to others, in percent of its fair share; 0 for
+    /// never.
+    pub excess_percent: u32,
 }
 
 impl Default for Queue {
@@ -81,6 +84,7 @@
         Self {
             on: true,
             long_factor: 4,
+            excess_percent: 150,
         }
     }
 }
