--- a/crates/lentillift-owner/src/core/intake.rs
+++ b/crates/lentillift-owner/src/core/intake.rs
@@ -32,7 +32,8 @@
         if self.view.owner(&sub.backend) != Some(&self.host) {
             return Some(Failure::NotOwner);
         }
-        if !self.view.in_service(&sub.backend) {
+        // A process that was paused can't know what was taken out meanwhile.
+        if !self.view.fresh(now) || !self.view.in_service(&sub.backend) {
             return Some(Failure::Out);
         }
         let server = self.servers.get(&sub.backend)?;
--- a/crates/lentillift-policy/src/choice.rs
+++ b/crates/lentillift-policy/src/choice.rs
@@ -22,6 +22,10 @@
 /// Time that a request is held to take at a server of which nothing is known.
 const GUESS: Duration = Duration::from_millis(1);
 
+/// Part of a request's time that the next one waits on average for the last slot to come free, if
+/// others arrive at random.
+const ARRIVAL: u32 = 4;
+
 /// Wait that is held against a server which takes nothing.
 const CLOSED: Duration = Duration::from_secs(3600);
 
@@ -115,7 +119,9 @@
         let taken = load.running + known.sent;
         let behind = (taken + 1).saturating_sub(load.limit);
         let since = run * behind.min(known.sent) / load.limit;
-        load.wait + since + run
+        // The fewer slots are free, the likelier none is when the sub-request arrives.
+        let chance = run * taken / load.limit / ARRIVAL;
+        load.wait + since + chance + run
     }
 
     /// Chooses among replicas; `None` when there is none.
--- a/crates/lentillift-settings/src/config.rs
+++ b/crates/lentillift-settings/src/config.rs
@@ -66,6 +66,9 @@
     pub revision: id::Revision,
     /// The failure domains.
     pub domains: BTreeSet<id::Domain>,
+    /// The region of each failure domain; those that are not named are in one region together.
+    #[serde(default)]
+    pub regions: BTreeMap<id::Domain, id::Region>,
     /// Failure domains that operators have taken out of service.
     #[serde(default)]
     pub domains_out: BTreeSet<id::Domain>,
@@ -95,6 +98,16 @@
         (least..=most).contains(&allowance)
     }
 
+    /// The region that `domain` is in.
+    pub fn region(&self, domain: &id::Domain) -> id::Region {
+        self.regions.get(domain).cloned().unwrap_or_default()
+    }
+
+    /// Whether operators have taken a host, or the failure domain it is in, out of service.
+    pub fn is_out(&self, host: &id::Host, domain: &id::Domain) -> bool {
+        self.hosts_out.contains(host) || self.domains_out.contains(domain)
+    }
+
     /// The priority class of a caller's requests to a service.
     pub fn class(&self, service: &Service, caller: &str) -> Option<&Class> {
         let name = self.policy.classes.get(caller).unwrap_or(&service.class);
@@ -128,6 +141,11 @@
                 faults.push(format!("domains_out: no failure domain `{domain}`"));
             }
         }
+        for domain in self.regions.keys() {
+            if !self.domains.contains(domain) {
+                faults.push(format!("regions.{domain}: no failure domain `{domain}`"));
+            }
+        }
         for (caller, class) in &self.policy.classes {
             if !self.classes.contains_key(class) {
                 faults.push(format!("policy.classes.{caller}: no class `{class}`"));
