--- a/crates/lentillift-policy/src/choice.rs
+++ b/crates/lentillift-policy/src/choice.rs
@@ -22,6 +22,10 @@
 /// Time that a request is held to take at a server of which nothing is known.
 const GUESS: Duration = Duration::from_millis(1);
 
+/// Part of a request's time that the next one waits on average for the last slot to come free, if
+/// others arrive at random.
+const ARRIVAL: u32 = 4;
+
 /// Wait that is held against a server which takes nothing.
 const CLOSED: Duration = Duration::from_secs(3600);
 
@@ -87,6 +91,18 @@
         fresh.then_some(&known.load)
     }
 
+    /// Whether `backend` is known to be of no use for a hedge: cold, or with others waiting.
+    ///
+    /// That others wait is believed for as long as their wait was to take.
+    pub fn is_busy(&self, options: &Options, now: Time, backend: &str) -> bool {
+        let Some(load) = self.load(options, now, backend) else {
+            return false;
+        };
+        let at = self.known.get(backend).and_then(|known| known.at);
+        let age = now.saturating_sub(at.unwrap_or_default());
+        load.cold || load.limit == 0 || (load.queued > 0 && age < load.wait)
+    }
+
     /// Time until a further sub-request to `backend` would be answered.
     pub fn expected(&self, options: &Options, now: Time, backend: &str) -> Duration {
         let Some(known) = self.known.get(backend) else {
@@ -103,7 +119,9 @@
         let taken = load.running + known.sent;
         let behind = (taken + 1).saturating_sub(load.limit);
         let since = run * behind.min(known.sent) / load.limit;
-        load.wait + since + run
+        // The fewer slots are free, the likelier none is when the sub-request arrives.
+        let chance = run * taken / load.limit / ARRIVAL;
+        load.wait + since + chance + run
     }
 
     /// Chooses among replicas; `None` when there is none.
