Generate configurations from answers, and name all faults at once

Cause: a team had to write the configuration by hand, and the decoder stopped at its first error, so whoever made five mistakes was sent back five times.

Change: a questionnaire with explanations (init), generation with reasons (configure), a check that walks constant shapes beside the parsed text and names file, line, field, what was found and what would be right for all faults at once (check), changes in words (diff), and domain and host out and in, which edit the answers with their comments. Settings of a process come from a file, from flags, or from both, with the same quality of errors.

--- a/crates/lentillift-settings/src/config.rs
+++ b/crates/lentillift-settings/src/config.rs
@@ -1,5 +1,9 @@
 //! The published configuration that all processes share.
 
+use crate::review;
+use crate::shape::Shape;
+use crate::shape::optional;
+use crate::shape::required;
 use lentillift_core::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -93,34 +97,36 @@
 
     /// All that makes the configuration unfit to be in force.
     pub fn faults(&self) -> Vec<String> {
-        let mut faults = Vec::new();
-        for (name, service) in &self.services {
-            if !self.classes.contains_key(&service.class) {
-                faults.push(format!(
-                    "services.{name}.class: no class `{}`",
-                    service.class
-                ));
-            }
-            if service.slots == 0 {
-                faults.push(format!(
-                    "services.{name}.slots: found 0, at least 1 is right"
-                ));
-            }
-            if service.connections < service.slots {
-                faults.push(format!(
-                    "services.{name}.connections: found {}, at least its {} slots is right",
-                    service.connections, service.slots
-                ));
-            }
-        }
-        for domain in &self.domains_out {
-            if !self.domains.contains(domain) {
-                faults.push(format!("domains_out: no failure domain `{domain}`"));
-            }
-        }
-        if self.least_allowance_ms > self.most_allowance_ms {
-            faults.push("least_allowance_ms: above most_allowance_ms".to_owned());
-        }
-        faults
+        let faults = review::config(self).into_iter();
+        faults.map(|fault| fault.to_string()).collect()
     }
 }
+
+/// The shape of a configuration.
+pub const SHAPE: Shape = Shape::Record(&[
+    required("revision", review::REVISION),
+    required("domains", Shape::List(&Shape::Name)),
+    optional("domains_out", Shape::List(&Shape::Name)),
+    optional("hosts_out", Shape::List(&Shape::Name)),
+    required("classes", Shape::Map(&CLASS)),
+    required("callers", Shape::Map(&CALLER)),
+    required("services", Shape::Map(&SERVICE)),
+    required("least_allowance_ms", review::MILLISECONDS),
+    required("most_allowance_ms", review::MILLISECONDS),
+]);
+
+const CLASS: Shape = Shape::Record(&[
+    required("rank", Shape::Whole(0, 255)),
+    required("queue_ms", Shape::Whole(0, 600_000)),
+]);
+
+const CALLER: Shape = Shape::Record(&[required("weight", review::WEIGHT)]);
+
+const SERVICE: Shape = Shape::Record(&[
+    required("kind", Shape::Choice(&["search", "action"])),
+    required("class", Shape::Name),
+    required("slots", review::SLOTS),
+    required("connections", review::CONNECTIONS),
+    required("cold_slots", review::SLOTS),
+    required("connect_ms", review::CONNECT),
+]);
--- a/crates/lentillift-settings/src/daemon.rs
+++ b/crates/lentillift-settings/src/daemon.rs
@@ -1,8 +1,17 @@
 //! Settings of one process.
 
+use crate::document::Document;
+use crate::fault::Fault;
+use crate::fault::Line;
+use crate::fault::Report;
+use crate::fault::Result;
+use crate::shape::Shape;
+use crate::shape::optional;
 use lentillift_core::id;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
 use std::net::SocketAddr;
 
 /// Settings of one process; each may also be given on the command line.
@@ -22,3 +31,136 @@
     /// Where the platform's configuration service listens.
     pub platform_address: SocketAddr,
 }
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Log {
+    /// For people.
+    #[default]
+    Human,
+    /// One JSON object a line.
+    Json,
+}
+
+/// All that a process is started with.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// The settings.
+    pub settings: Settings,
+    /// How log lines are written.
+    pub log: Log,
+}
+
+/// A setting, its shape, and what it is for.
+#[derive(Debug, Clone, Copy)]
+pub struct Item {
+    /// The field in the settings file; the flag is the same with dashes.
+    pub name: &'static str,
+    /// What it is for.
+    pub help: &'static str,
+    shape: Shape,
+    required: bool,
+}
+
+const fn item(name: &'static str, shape: Shape, help: &'static str) -> Item {
+    Item {
+        name,
+        help,
+        shape,
+        required: true,
+    }
+}
+
+/// All settings.
+pub const ITEMS: [Item; 7] = [
+    item("host", Shape::Name, "name of the host"),
+    item("domain", Shape::Name, "failure domain the host is in"),
+    item("caller_address", Shape::Address, "where callers connect"),
+    item(
+        "node_address",
+        Shape::Address,
+        "where the system's other processes connect",
+    ),
+    item(
+        "operator_address",
+        Shape::Address,
+        "where operators connect",
+    ),
+    item(
+        "platform_address",
+        Shape::Address,
+        "where the platform's configuration service listens",
+    ),
+    Item {
+        name: "log",
+        help: "how log lines are written: human or json",
+        shape: Shape::Choice(&["human", "json"]),
+        required: false,
+    },
+];
+
+/// The shape of a settings file. All fields may be left to flags.
+pub const SHAPE: Shape = Shape::Record(&[
+    optional(ITEMS[0].name, ITEMS[0].shape),
+    optional(ITEMS[1].name, ITEMS[1].shape),
+    optional(ITEMS[2].name, ITEMS[2].shape),
+    optional(ITEMS[3].name, ITEMS[3].shape),
+    optional(ITEMS[4].name, ITEMS[4].shape),
+    optional(ITEMS[5].name, ITEMS[5].shape),
+    optional(ITEMS[6].name, ITEMS[6].shape),
+]);
+
+/// Puts a settings file and flags together; a flag wins over the file.
+///
+/// # Errors
+///
+/// Reports all faults of the file, else all of the flags, else all that neither gives.
+pub fn resolve(file: Option<(&str, &str)>, flags: &Map<String, Value>) -> Result<Start> {
+    let mut settings: Map<String, Value> = match file {
+        Some((name, text)) => Document::parse(name, text)?.decode(&SHAPE)?,
+        None => Map::new(),
+    };
+    let text = Value::Object(flags.clone()).to_string();
+    let flags: Map<String, Value> = Document::parse("command line", &text)?.decode(&SHAPE)?;
+    settings.extend(flags);
+    let name = file.map_or("command line", |(name, _)| name);
+    let missing = ITEMS.iter().filter(|item| item.required);
+    let missing = missing.filter(|item| !settings.contains_key(item.name));
+    let faults = missing.map(|item| {
+        let right = format!("{}, here or by --{}", item.help, flag(item.name));
+        Fault::new([item.name], "nothing", right)
+    });
+    report(name, faults.collect())?;
+    let log = settings.remove("log").unwrap_or_else(|| "human".into());
+    let decoded = serde_json::from_value(log).and_then(|log| {
+        let settings = serde_json::from_value(Value::Object(settings))?;
+        Ok(Start { settings, log })
+    });
+    decoded.map_err(|e| {
+        // Only where a shape and its type have come apart.
+        let fault = Fault::new(Vec::<String>::new(), e.to_string(), "a value of the type");
+        first(name, vec![fault])
+    })
+}
+
+/// The flag of a setting.
+pub fn flag(name: &str) -> String {
+    name.replace('_', "-")
+}
+
+fn report(name: &str, faults: Vec<Fault>) -> Result<()> {
+    match faults.is_empty() {
+        true => Ok(()),
+        false => Err(first(name, faults)),
+    }
+}
+
+/// A report of faults that have no line of their own.
+fn first(name: &str, faults: Vec<Fault>) -> Report {
+    let lines = faults.into_iter().map(|fault| Line { line: 1, fault });
+    Report {
+        file: name.to_owned(),
+        faults: lines.collect(),
+    }
+}
--- a/crates/lentillift-settings/src/jsonc.rs
+++ b/crates/lentillift-settings/src/jsonc.rs
@@ -1,5 +1,6 @@
 //! Reading JSON with comments.
 
+use crate::document::Document;
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
@@ -14,9 +15,7 @@
 where
     T: DeserializeOwned,
 {
-    let options = jsonc_parser::ParseOptions::default();
-    let value = jsonc_parser::parse_to_serde_value(text, &options)
-        .map_err(|e| Error::new(Step::Decode, name, e))?
-        .ok_or_else(|| Error::new(Step::Decode, name, "the text holds no value"))?;
-    serde_json::from_value(value).map_err(|e| Error::new(Step::Decode, name, e))
+    let document = Document::parse(name, text);
+    let value = document.and_then(|document| document.value());
+    value.map_err(|e| Error::new(Step::Decode, name, e))
 }
--- /dev/null
+++ b/crates/lentillift-settings/src/kind.rs
@@ -0,0 +1,92 @@
+//! Kinds of text that the system reads, told apart by their fields.
+
+use crate::answers::Answers;
+use crate::config;
+use crate::config::Config;
+use crate::daemon;
+use crate::document::Document;
+use crate::fault::Result;
+use crate::placement;
+use crate::placement::Placement;
+use crate::review;
+use crate::roster;
+use crate::roster::Roster;
+use serde_json::Map;
+use serde_json::Value;
+use std::fmt;
+
+/// A kind of text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Answers to the questionnaire.
+    Answers,
+    /// A configuration.
+    Config,
+    /// A daemon's settings.
+    Settings,
+    /// A service's placement.
+    Placement,
+    /// A list of hosts.
+    Hosts,
+}
+
+/// Fields by which kinds are told apart, the surest first.
+const MARKS: [(&str, Kind); 9] = [
+    ("matters_most", Kind::Answers),
+    ("out_of_service", Kind::Answers),
+    ("priorities", Kind::Answers),
+    ("classes", Kind::Config),
+    ("least_allowance_ms", Kind::Config),
+    ("servers", Kind::Placement),
+    ("maps", Kind::Placement),
+    ("hosts", Kind::Hosts),
+    ("services", Kind::Answers),
+];
+
+impl Kind {
+    /// The kind that a text's fields tell of.
+    pub fn of(document: &Document<'_>) -> Self {
+        let mark = MARKS.iter().find(|(field, _)| document.has(field));
+        mark.map_or(Self::Settings, |(_, kind)| *kind)
+    }
+
+    /// Checks a text as one of this kind.
+    ///
+    /// # Errors
+    ///
+    /// Reports all faults at once.
+    pub fn check(self, name: &str, text: &str) -> Result<()> {
+        let document = Document::parse(name, text)?;
+        match self {
+            Self::Answers => Answers::parse(name, text).map(drop),
+            Self::Config => {
+                let config: Config = document.decode(&config::SHAPE)?;
+                document.verdict(review::config(&config))
+            }
+            Self::Settings => {
+                let settings = document.decode::<Map<String, Value>>(&daemon::SHAPE);
+                settings.map(drop)
+            }
+            Self::Placement => {
+                let placement: Placement = document.decode(&placement::SHAPE)?;
+                document.verdict(placement.faults())
+            }
+            Self::Hosts => {
+                let roster: Roster = document.decode(&roster::SHAPE)?;
+                document.verdict(roster.faults())
+            }
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Answers => "answers",
+            Self::Config => "configuration",
+            Self::Settings => "settings of a daemon",
+            Self::Placement => "placement of a service",
+            Self::Hosts => "list of hosts",
+        })
+    }
+}
--- a/crates/lentillift-settings/src/lib.rs
+++ b/crates/lentillift-settings/src/lib.rs
@@ -6,8 +6,18 @@
 
 #![forbid(unsafe_code)]
 
+pub mod answers;
+pub mod change;
 pub mod config;
 pub mod daemon;
+pub mod document;
+pub mod draft;
+pub mod fault;
+pub mod generate;
 pub mod jsonc;
+pub mod kind;
 pub mod placement;
+pub mod review;
+pub mod revise;
 pub mod roster;
+pub mod shape;
--- /dev/null
+++ b/crates/lentillift-settings/src/review.rs
@@ -0,0 +1,170 @@
+//! Bounds of fields, and what makes a configuration unfit to be in force.
+
+use crate::config::Config;
+use crate::fault::Fault;
+use crate::shape::Shape;
+use crate::shape::quoted;
+
+/// A revision. Zero is what a process holds that has read nothing yet.
+pub const REVISION: Shape = Shape::Whole(1, MOST_REVISION);
+
+/// Requests in flight at one backend server. Zero would stop it for good: a cold server that gets
+/// nothing never warms up.
+pub const SLOTS: Shape = Shape::Whole(1, MOST_SLOTS);
+
+/// Connections to one backend server.
+pub const CONNECTIONS: Shape = Shape::Whole(1, MOST_CONNECTIONS);
+
+/// Time to open a connection, in milliseconds.
+pub const CONNECT: Shape = Shape::Whole(0, MOST_CONNECT);
+
+/// A time of at least a millisecond and at most ten minutes.
+pub const MILLISECONDS: Shape = Shape::Whole(1, MOST_MILLISECONDS);
+
+/// A caller's share.
+pub const WEIGHT: Shape = Shape::Whole(1, MOST_WEIGHT);
+
+/// Room for 650 changes a day over thousands of years; a number above it is a slip of the hand,
+/// and since revisions never fall, no later one could ever be put in force.
+const MOST_REVISION: u64 = 1_000_000_000;
+
+const MOST_SLOTS: u64 = 10_000;
+const MOST_CONNECTIONS: u64 = 100_000;
+const MOST_CONNECT: u64 = 60_000;
+const MOST_MILLISECONDS: u64 = 600_000;
+const MOST_WEIGHT: u64 = 1000;
+
+/// Limits of one backend server that depend on each other.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Requests that run at a time.
+    pub slots: u32,
+    /// Requests that run at a time in a cold start.
+    pub cold_slots: u32,
+    /// Connections.
+    pub connections: u32,
+}
+
+impl Limits {
+    /// Appends what is wrong between the limits of service `name`.
+    pub fn check(&self, name: &str, faults: &mut Vec<Fault>) {
+        if self.slots == 0 {
+            // Reported on its own; compared with it, all else would look wrong.
+            return;
+        }
+        if self.cold_slots > self.slots {
+            let path = ["services", name, "cold_slots"];
+            let right = format!("at most its slots, which are {}", self.slots);
+            faults.push(Fault::new(path, self.cold_slots.to_string(), right));
+        }
+        if self.connections < self.slots {
+            let path = ["services", name, "connections"];
+            let right = format!("at least its slots, which are {}", self.slots);
+            faults.push(Fault::new(path, self.connections.to_string(), right));
+        }
+    }
+}
+
+/// The names that would be right.
+pub fn one_of<I, S>(names: I) -> String
+where
+    I: IntoIterator<Item = S>,
+    S: AsRef<str>,
+{
+    let names = names.into_iter().map(|name| quoted(name.as_ref()));
+    let names: Vec<String> = names.collect();
+    match names.is_empty() {
+        true => "none".to_owned(),
+        false => format!("one of {}", names.join(", ")),
+    }
+}
+
+/// All that makes a configuration unfit to be in force.
+pub fn config(config: &Config) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let revision = ["revision"];
+    bound(revision, config.revision, 1, MOST_REVISION, &mut faults);
+    domains(config, &mut faults);
+    for (name, class) in &config.classes {
+        let path = ["classes", name, "queue_ms"];
+        bound(path, class.queue_ms, 0, MOST_MILLISECONDS, &mut faults);
+    }
+    for (name, caller) in &config.callers {
+        let path = ["callers", name, "weight"];
+        bound(path, caller.weight.into(), 1, MOST_WEIGHT, &mut faults);
+    }
+    services(config, &mut faults);
+    allowances(config, &mut faults);
+    faults
+}
+
+fn domains(config: &Config, faults: &mut Vec<Fault>) {
+    let path = ["domains_out"];
+    for domain in config.domains_out.difference(&config.domains) {
+        faults.push(Fault::new(path, quoted(domain), one_of(&config.domains)));
+    }
+    if !config.domains.is_empty() && config.domains.is_subset(&config.domains_out) {
+        faults.push(Fault::new(
+            path,
+            "all failure domains",
+            "at least one in service",
+        ));
+    }
+}
+
+fn services(config: &Config, faults: &mut Vec<Fault>) {
+    for (name, service) in &config.services {
+        let path = |field| ["services", name, field];
+        if !config.classes.contains_key(&service.class) {
+            let right = one_of(config.classes.keys());
+            faults.push(Fault::new(path("class"), quoted(&service.class), right));
+        }
+        let (slots, cold) = (service.slots.into(), service.cold_slots.into());
+        bound(path("slots"), slots, 1, MOST_SLOTS, faults);
+        bound(path("cold_slots"), cold, 1, MOST_SLOTS, faults);
+        let connections = service.connections.into();
+        bound(
+            path("connections"),
+            connections,
+            1,
+            MOST_CONNECTIONS,
+            faults,
+        );
+        bound(
+            path("connect_ms"),
+            service.connect_ms,
+            0,
+            MOST_CONNECT,
+            faults,
+        );
+        let limits = Limits {
+            slots: service.slots,
+            cold_slots: service.cold_slots,
+            connections: service.connections,
+        };
+        limits.check(name, faults);
+    }
+}
+
+fn allowances(config: &Config, faults: &mut Vec<Fault>) {
+    let (least, most) = (config.least_allowance_ms, config.most_allowance_ms);
+    bound(["least_allowance_ms"], least, 1, MOST_MILLISECONDS, faults);
+    bound(["most_allowance_ms"], most, 1, MOST_MILLISECONDS, faults);
+    if least > most {
+        let right = format!("at most most_allowance_ms, which is {most}");
+        faults.push(Fault::new(["least_allowance_ms"], least.to_string(), right));
+    }
+}
+
+fn bound<const N: usize>(
+    path: [&str; N],
+    found: u64,
+    least: u64,
+    most: u64,
+    faults: &mut Vec<Fault>,
+) {
+    if !(least..=most).contains(&found) {
+        let right = format!("a whole number from {least} to {most}");
+        faults.push(Fault::new(path, found.to_string(), right));
+    }
+}
--- /dev/null
+++ b/crates/lentillift-settings/tests/published.rs
@@ -0,0 +1,128 @@
+//! Faults of configurations, placements, lists of hosts and a daemon's settings.
+
+use lentillift_settings::config::Config;
+use lentillift_settings::daemon;
+use lentillift_settings::daemon::Log;
+use lentillift_settings::kind::Kind;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+/// Applies a change to an example's configuration and returns what makes it unfit.
+fn unfit(change: fn(&mut Config)) -> Vec<String> {
+    let text = include_str!("../../../examples/nafisa.config.json");
+    let mut config: Config = serde_json::from_str(text).expect("configuration");
+    change(&mut config);
+    config.faults()
+}
+
+macro_rules! unfit {
+    ($($name:ident: $change:expr => $fault:literal;)+) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(unfit($change), [$fault]);
+        }
+    )+};
+}
+
+unfit! {
+    revision_zero: |c| c.revision = 0 =>
+        "revision: found 0, right is a whole number from 1 to 1000000000";
+    revision_beyond_return: |c| c.revision = u64::MAX =>
+        "revision: found 18446744073709551615, right is a whole number from 1 to 1000000000";
+    unknown_domain_out: |c| c.domains_out = ["d9".into()].into() =>
+        "domains_out: found \"d9\", right is one of \"d1\", \"d2\", \"d3\", \"d4\"";
+    all_domains_out: |c| c.domains_out = c.domains.clone() =>
+        "domains_out: found all failure domains, right is at least one in service";
+    unknown_class: |c| c.services.get_mut("archive").expect("service").class = "x".into() =>
+        "services.archive.class: found \"x\", right is one of \"archive\", \"name-search\", \"timetable\"";
+    zero_slots: |c| c.services.get_mut("archive").expect("service").slots = 0 =>
+        "services.archive.slots: found 0, right is a whole number from 1 to 10000";
+    zero_cold_slots: |c| c.services.get_mut("archive").expect("service").cold_slots = 0 =>
+        "services.archive.cold_slots: found 0, right is a whole number from 1 to 10000";
+    cold_above_warm: |c| c.services.get_mut("archive").expect("service").cold_slots = 9 =>
+        "services.archive.cold_slots: found 9, right is at most its slots, which are 3";
+    absurd_allowance: |c| c.most_allowance_ms = 86_400_000 =>
+        "most_allowance_ms: found 86400000, right is a whole number from 1 to 600000";
+    allowances_crossed: |c| c.least_allowance_ms = 20_000 =>
+        "least_allowance_ms: found 20000, right is at most most_allowance_ms, which is 10000";
+}
+
+fn check(value: &Value) -> String {
+    let text = serde_json::to_string_pretty(value).expect("JSON");
+    let document = lentillift_settings::document::Document::parse("v", &text).expect("JSON");
+    let checked = Kind::of(&document).check("v", &text);
+    checked.map_or_else(|report| report.to_string(), |()| String::new())
+}
+
+#[test]
+fn placement_names_its_servers() {
+    let server = json!({ "address": "10.0.0.1:80", "domain": "d1", "state": "live" });
+    let part = |shard| json!({ "shard": shard, "weight": 1, "replicas": ["b-1", "b-2"] });
+    let value = json!({
+        "revision": 1,
+        "servers": { "b-1": server },
+        "maps": [{ "snapshot": 1, "parts": [part(0), part(0)] }],
+    });
+    let faults = check(&value);
+    assert_eq!(faults.matches("found \"b-2\"").count(), 2, "{faults}");
+    assert!(faults.contains("maps.0.parts.1.shard: found 0 a second time"));
+}
+
+#[test]
+fn hosts_have_addresses_of_their_own() {
+    let host = json!({ "address": "10.0.0.1:80", "domain": "d1", "state": "live" });
+    let gone = json!({ "address": "10.0.0.2:80", "domain": "d1", "state": "gone" });
+    let value = json!({ "revision": 1, "hosts": { "h-1": host, "h-2": host } });
+    assert!(check(&value).contains("10.0.0.1:80, which is also that of h-1"));
+    let value = json!({ "revision": 1, "hosts": { "h-1": gone } });
+    assert!(check(&value).contains("hosts.h-1.state: found \"gone\", right is one of"));
+}
+
+const SETTINGS: &str = r#"{
+  // Settings.
+  "host": "entry-1",
+  "domain": "d1",
+  "caller_address": "127.0.0.1:7070",
+  "node_address": "127.0.0.1:7071"
+}"#;
+
+fn flags(flags: &[(&str, &str)]) -> Map<String, Value> {
+    let flags = flags.iter();
+    flags.map(|(n, v)| ((*n).to_owned(), json!(v))).collect()
+}
+
+#[test]
+fn flags_win_over_the_file() {
+    let flags = flags(&[
+        ("host", "entry-2"),
+        ("operator_address", "127.0.0.1:7072"),
+        ("platform_address", "127.0.0.1:7073"),
+        ("log", "json"),
+    ]);
+    let start = daemon::resolve(Some(("s", SETTINGS)), &flags).expect("right");
+    assert_eq!(&*start.settings.host, "entry-2");
+    assert_eq!(&*start.settings.domain, "d1");
+    assert_eq!(start.log, Log::Json);
+}
+
+#[test]
+fn missing_settings_are_named_at_once() {
+    let report = daemon::resolve(Some(("s", SETTINGS)), &Map::new()).expect_err("missing");
+    assert_eq!(
+        report.to_string(),
+        "s:1: operator_address: found nothing, right is where operators connect, here or by --operator-address\n\
+         s:1: platform_address: found nothing, right is where the platform's configuration service listens, here or by --platform-address"
+    );
+}
+
+#[test]
+fn wrong_flags_are_named_at_once() {
+    let flags = flags(&[("node_address", "localhost:1"), ("log", "xml")]);
+    let report = daemon::resolve(Some(("s", SETTINGS)), &flags).expect_err("wrong");
+    assert_eq!(
+        report.to_string(),
+        "command line:1: log: found \"xml\", right is one of \"human\", \"json\"\n\
+         command line:1: node_address: found \"localhost:1\", right is an IP address with its port, like \"10.0.0.7:7070\""
+    );
+}
--- /dev/null
+++ b/crates/lentillift/src/command/check.rs
@@ -0,0 +1,100 @@
+//! `lentillift check`: all faults of a file at once.
+
+use crate::command::Command;
+use crate::command::Usage;
+use crate::command::read;
+use crate::command::show;
+use crate::command::show_json;
+use crate::exit::Exit;
+use getopts::Matches;
+use getopts::Options;
+use lentillift_settings::answers::Answers;
+use lentillift_settings::document::Document;
+use lentillift_settings::fault::Report;
+use lentillift_settings::kind::Kind;
+
+/// The command.
+pub(crate) const COMMAND: Command = Command {
+    name: "check",
+    arguments: "FILE...",
+    summary: "check answers, configurations, settings and published values",
+    about: "Checks each FILE and names all faults at once: file, line, field, what was found and
+what would be right. The kind of a file is told by its fields; --as says it for sure.",
+    examples: &[
+        (
+            "lentillift check answers.jsonc",
+            "Check answers before they are used.",
+        ),
+        (
+            "lentillift check --as settings lentilliftd.jsonc",
+            "Check a daemon's settings file.",
+        ),
+        (
+            "lentillift check --json *.jsonc",
+            "Faults as JSON, for an editor or a script.",
+        ),
+    ],
+    options,
+    run,
+};
+
+const KINDS: [(&str, Kind); 5] = [
+    ("answers", Kind::Answers),
+    ("config", Kind::Config),
+    ("settings", Kind::Settings),
+    ("placement", Kind::Placement),
+    ("hosts", Kind::Hosts),
+];
+
+fn options(options: &mut Options) {
+    let kinds = "answers, config, settings, placement or hosts";
+    options.optopt("", "as", kinds, "KIND");
+}
+
+fn run(matches: &Matches) -> anyhow::Result<Exit> {
+    if matches.free.is_empty() {
+        return Err(Usage("found no FILE, at least one is right".to_owned()).into());
+    }
+    let forced = match matches.opt_str("as") {
+        Some(name) => Some(named(&name)?),
+        None => None,
+    };
+    let json = matches.opt_present("json");
+    let mut reports = Vec::new();
+    for file in &matches.free {
+        match check(file, &read(file)?, forced) {
+            Ok(kind) if !json => show(&format!("{file}: right ({kind})\n")),
+            Ok(_) => {}
+            Err(report) => reports.push(report),
+        }
+    }
+    if json {
+        show_json(&reports)?;
+    } else {
+        reports.iter().for_each(|report| eprintln!("{report}"));
+    }
+    Ok(match reports.is_empty() {
+        true => Exit::Done,
+        false => Exit::Failed,
+    })
+}
+
+fn named(name: &str) -> Result<Kind, Usage> {
+    let found = KINDS.iter().find(|(known, _)| *known == name);
+    let known = KINDS.map(|(known, _)| known).join(", ");
+    found
+        .map(|(_, kind)| *kind)
+        .ok_or_else(|| Usage(format!("--as: found {name}, right is one of {known}")))
+}
+
+fn check(file: &str, text: &str, forced: Option<Kind>) -> Result<Kind, Report> {
+    let kind = match forced {
+        Some(kind) => kind,
+        None => Kind::of(&Document::parse(file, text)?),
+    };
+    kind.check(file, text)?;
+    if kind == Kind::Answers {
+        super::configure::generated(file, &Answers::parse(file, text)?)?;
+    }
+    Ok(kind)
+}
--- /dev/null
+++ b/crates/lentillift/src/exit.rs
@@ -0,0 +1,36 @@
+//! Exit codes, for scripts.
+
+use std::process::ExitCode;
+
+/// How a command ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Exit {
+    /// It did what was asked.
+    Done,
+    /// It found faults, or what was waited for did not come.
+    Failed,
+    /// The command line is wrong.
+    Usage,
+    /// A process could not be reached.
+    Unreachable,
+}
+
+/// The codes as `--help` shows them.
+pub(crate) const HELP: &str = "\
+Exit codes:
+  0  done
+  1  faults were found, or what was waited for did not come
+  2  the command line is wrong
+  3  a process could not be reached
+";
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(match exit {
+            Exit::Done => 0,
+            Exit::Failed => 1,
+            Exit::Usage => 2,
+            Exit::Unreachable => 3,
+        })
+    }
+}
--- a/crates/lentillift/src/main.rs
+++ b/crates/lentillift/src/main.rs
@@ -2,29 +2,53 @@
 
 #![forbid(unsafe_code)]
 
+mod command;
 mod demo;
+mod exit;
 
+use crate::exit::Exit;
+use std::fmt::Write;
 use std::process::ExitCode;
 
-const HELP: &str = "\
-Usage: lentillift COMMAND
-
-Commands:
-  demo    run a small fleet on loopback, ask it, and tell what happened
-  help    show this help
-";
-
 fn main() -> ExitCode {
-    let mut arguments = std::env::args().skip(1);
-    match arguments.next().as_deref() {
-        Some("demo") => demo::run(),
-        Some("help" | "--help" | "-h") => {
-            print!("{HELP}");
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let Some((name, rest)) = arguments.split_first() else {
+        eprint!("{}", help());
+        return Exit::Usage.into();
+    };
+    if let Some(command) = command::ALL.iter().find(|command| command.name == name) {
+        return command.start(rest).into();
+    }
+    match name.as_str() {
+        "demo" => demo::run(),
+        "help" | "--help" | "-h" => {
+            command::show(&help());
+            ExitCode::SUCCESS
+        }
+        "--version" | "-V" => {
+            println!("lentillift {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        _ => {
-            eprint!("{HELP}");
-            ExitCode::from(2)
+        other => {
+            eprintln!("lentillift: found {other}, right is one of the commands below");
+            eprint!("{}", help());
+            Exit::Usage.into()
         }
     }
 }
+
+fn help() -> String {
+    let mut help = "Usage: lentillift COMMAND [OPTIONS] [ARGUMENTS]\n\nCommands:\n".to_owned();
+    for command in command::ALL {
+        let _ = writeln!(help, "  {:10} {}", command.name, command.summary);
+    }
+    let demo = "run a small fleet on loopback, ask it, and tell what happened";
+    let _ = writeln!(
+        help,
+        "  {:10} {demo}\n  {:10} show this help",
+        "demo", "help"
+    );
+    help.push_str("\n`lentillift COMMAND --help` explains a command and shows examples.\n\n");
+    help.push_str(exit::HELP);
+    help
+}
--- a/crates/lentilliftd/src/main.rs
+++ b/crates/lentilliftd/src/main.rs
@@ -5,16 +5,23 @@
 use anyhow::Context;
 use getopts::Matches;
 use getopts::Options;
+use lentillift_settings::daemon;
+use lentillift_settings::daemon::ITEMS;
+use lentillift_settings::daemon::Log;
 use lentillift_settings::daemon::Settings;
-use lentillift_settings::jsonc;
+use lentillift_settings::daemon::Start;
 use lentilliftd::daemon::Daemon;
 use lentilliftd::daemon::Sockets;
+use serde_json::Map;
+use serde_json::Value;
+use std::process::ExitCode;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tracing::info;
+use tracing_subscriber::EnvFilter;
 
 /// Worker threads for sockets and decisions.
 const WORKERS: usize = 2;
@@ -22,24 +29,113 @@
 /// Longest wait at the end for blocking calls that are still under way.
 const SHUTDOWN: Duration = Duration::from_secs(1);
 
-fn main() -> anyhow::Result<()> {
+/// Exit code for settings or a command line that are wrong.
+const MISUSED: u8 = 2;
+
+const BRIEF: &str = "\
+Usage: lentilliftd [--settings FILE] [OPTIONS]
+
+Runs one process of the query tier. Each setting may stand in FILE (JSON with comments) or be
+given as a flag; a flag wins. A port of 0 leaves the choice to the system; the first line on
+standard output tells the addresses in use. SIGTERM lets it finish what it has and end.";
+
+const EXAMPLES: &str = "
+Examples:
+  lentilliftd --settings lentilliftd.jsonc --check
+      Check the settings, name all faults at once, and exit.
+  lentilliftd --settings lentilliftd.jsonc --host entry-3 --domain d2
+      One file for all hosts, with the values of this host as flags.
+  lentilliftd --settings lentilliftd.jsonc --log json
+      Log lines as JSON. RUST_LOG=debug shows more.
+
+Exit codes:
+  0  ended as asked, or the settings are right
+  1  it could not run
+  2  the settings or the command line are wrong
+";
+
+fn main() -> ExitCode {
+    let options = options();
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => return misused(&error),
+    };
+    if matches.opt_present("help") {
+        print!("{}{EXAMPLES}", options.usage(BRIEF));
+        return ExitCode::SUCCESS;
+    }
+    let start = match start(&matches) {
+        Ok(start) => start,
+        Err(error) => return misused(&error),
+    };
+    if matches.opt_present("check") {
+        println!("settings are right");
+        return ExitCode::SUCCESS;
+    }
+    log(start.log);
+    match serve(start.settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lentilliftd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "settings file, JSON with comments", "FILE");
+    for item in ITEMS {
+        options.optopt("", &daemon::flag(item.name), item.help, "VALUE");
+    }
     options.optflag("", "check", "check the settings and exit");
     options.optflag("h", "help", "show this help");
-    let matches = options.parse(std::env::args().skip(1))?;
-    if matches.opt_present("help") {
-        print!("{}", options.usage("Usage: lentilliftd --settings FILE"));
-        return Ok(());
+    options
+}
+
+fn misused<E>(error: &E) -> ExitCode
+where
+    E: std::fmt::Display,
+{
+    eprintln!("{error:#}");
+    eprintln!("Try `lentilliftd --help`.");
+    ExitCode::from(MISUSED)
+}
+
+fn start(matches: &Matches) -> anyhow::Result<Start> {
+    anyhow::ensure!(
+        matches.free.is_empty(),
+        "found {:?}, right are flags only",
+        matches.free
+    );
+    let mut flags = Map::new();
+    for item in ITEMS {
+        if let Some(value) = matches.opt_str(&daemon::flag(item.name)) {
+            flags.insert(item.name.to_owned(), Value::String(value));
+        }
     }
-    let settings = settings(&matches)?;
-    if matches.opt_present("check") {
-        println!("settings are right");
-        return Ok(());
+    let file = matches.opt_str("settings");
+    let text = match &file {
+        Some(file) => std::fs::read_to_string(file).with_context(|| format!("read {file}"))?,
+        None => String::new(),
+    };
+    let file = file.as_deref().map(|file| (file, text.as_str()));
+    Ok(daemon::resolve(file, &flags)?)
+}
+
+/// Writes log lines to standard error; `RUST_LOG` may ask for more or less.
+fn log(log: Log) {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    match log {
+        Log::Human => builder.init(),
+        Log::Json => builder.json().init(),
     }
-    tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
-        .init();
+}
+
+fn serve(settings: Settings) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKERS)
         .enable_all()
@@ -49,14 +145,6 @@
     Ok(())
 }
 
-fn settings(matches: &Matches) -> anyhow::Result<Settings> {
-    let file = matches
-        .opt_str("settings")
-        .context("--settings is missing")?;
-    let text = std::fs::read_to_string(&file).with_context(|| file.clone())?;
-    Ok(jsonc::parse(&file, &text)?)
-}
-
 async fn run(settings: Settings) -> anyhow::Result<()> {
     let sockets = Sockets::open(&settings).await?;
     // One line for scripts, since the system may have chosen the ports.
@@ -68,10 +156,10 @@
     println!("{listening}");
     let started = SystemTime::now().duration_since(UNIX_EPOCH)?;
     let daemon = Daemon::start(&settings, sockets, started.as_nanos() as u64);
-    info!(host = %settings.host, "started");
+    info!(host = %settings.host, domain = %settings.domain, "started");
     let mut terminate = signal(SignalKind::terminate())?;
     terminate.recv().await;
-    info!("stopping");
+    info!(host = %settings.host, "stopping");
     daemon.stop().await;
     Ok(())
 }
