--- a/crates/lentillift-operator/src/event.rs
+++ b/crates/lentillift-operator/src/event.rs
@@ -5,23 +5,88 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 /// Events that are kept at most; the oldest make room.
 const MOST: usize = 4096;
 
 /// A change of state worth telling an operator.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Event {
-    /// Number within the process; later events have higher numbers.
-    pub number: u64,
-    /// Time since the process started, in microseconds.
-    pub at_us: u64,
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
     /// What kind of change it is.
     pub kind: String,
     /// What it is about: a backend server, a host, a key.
     pub subject: String,
     /// What changed, in words.
     pub detail: String,
+    /// The service, if it concerns one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<id::Service>,
+    /// The backend server, if it concerns one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub backend: Option<id::Backend>,
+    /// The request's id, if it concerns one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<String>,
+    /// What was sent to another process or received from one, such as `config 7`.
+    ///
+    /// An event with [`Note::from`] comes after the event of that host with the same token.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token: Option<String>,
+    /// The host that sent what `token` names.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub from: Option<id::Host>,
+}
+
+impl Note {
+    /// Makes a note of a change that concerns `subject`.
+    pub fn new(kind: &str, subject: &str, detail: impl Into<String>) -> Self {
+        Self {
+            kind: kind.to_owned(),
+            subject: subject.to_owned(),
+            detail: detail.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Adds the service that it concerns.
+    pub fn service(mut self, service: &id::Service) -> Self {
+        self.service = Some(service.clone());
+        self
+    }
+
+    /// Adds the backend server that it concerns.
+    pub fn backend(mut self, backend: &id::Backend) -> Self {
+        self.backend = Some(backend.clone());
+        self
+    }
+
+    /// Adds the request that it concerns.
+    pub fn request(mut self, request: impl ToString) -> Self {
+        self.request = Some(request.to_string());
+        self
+    }
+
+    /// Adds what was handed over, and by whom if it was received.
+    pub fn token(mut self, token: impl Into<String>, from: Option<&id::Host>) -> Self {
+        self.token = Some(token.into());
+        self.from = from.cloned();
+        self
+    }
+}
+
+/// A note with its place and time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Number within the process; later events have higher numbers.
+    pub number: u64,
+    /// Time since the process started, in microseconds; never goes back.
+    pub at_us: u64,
+    /// Time since 1970 by the host's clock, in milliseconds; differs between hosts.
+    pub wall_ms: u64,
+    /// What happened.
+    #[serde(flatten)]
+    pub note: Note,
 }
 
 /// The time line of one process.
@@ -32,8 +97,8 @@
 }
 
 impl Timeline {
-    /// Appends an event.
-    pub fn push(&mut self, now: Time, kind: &str, subject: &str, detail: String) {
+    /// Appends an event; `wall` is the time since 1970.
+    pub fn push(&mut self, now: Time, wall: Duration, note: Note) {
         if self.events.len() == MOST {
             self.events.pop_front();
         }
@@ -41,9 +106,8 @@
         self.events.push_back(Event {
             number: self.next,
             at_us: now.as_micros() as u64,
-            kind: kind.to_owned(),
-            subject: subject.to_owned(),
-            detail,
+            wall_ms: wall.as_millis() as u64,
+            note,
         });
     }
 
--- a/crates/lentillift-operator/src/lib.rs
+++ b/crates/lentillift-operator/src/lib.rs
@@ -2,6 +2,11 @@
 
 #![forbid(unsafe_code)]
 
+pub mod board;
+pub mod catalog;
 pub mod event;
+pub mod latency;
 pub mod metric;
 pub mod server;
+pub mod status;
+pub mod trend;
--- a/crates/lentillift-operator/src/metric.rs
+++ b/crates/lentillift-operator/src/metric.rs
@@ -1,68 +1,172 @@
-//! Counters and latency histograms.
+//! Counters, gauges and latencies, shown as Prometheus text.
 
-use hdrhistogram::Histogram;
+use crate::catalog;
+use crate::latency::Latency;
+use lentillift_core::time::Time;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
 
-/// Significant decimal digits that histograms keep.
-const DIGITS: u8 = 2;
+/// Series of one name at most.
+///
+/// Labels are names of services, classes and backend servers. If one ever came from what callers
+/// send, a hostile caller could fill the memory; what is beyond this is counted as dropped.
+const MOST_SERIES: usize = 10_000;
 
 /// Quantiles that are shown.
 const QUANTILES: [f64; 4] = [0.5, 0.95, 0.99, 0.999];
 
-/// Labels of a series, as they are shown.
-type Labels = String;
+/// All series of one name, by their labels as they are shown.
+type Series<T> = BTreeMap<String, T>;
 
-/// All counters and histograms of a process.
+/// What kind of series a name stands for.
+#[derive(Debug)]
+enum Family {
+    Counter(Series<u64>),
+    Gauge(Series<f64>),
+    Summary(Series<Latency>),
+}
+
+/// All series of a process.
 #[derive(Debug, Default)]
 pub struct Metrics {
-    counters: BTreeMap<(&'static str, Labels), u64>,
-    latencies: BTreeMap<(&'static str, Labels), Histogram<u64>>,
+    families: BTreeMap<&'static str, Family>,
+    dropped: u64,
+    // Labels are put together here, so that a known series costs no allocation.
+    labels: String,
 }
 
 impl Metrics {
     /// Adds to a counter.
     pub fn add(&mut self, name: &'static str, labels: &[(&str, &str)], count: u64) {
-        *self.counters.entry((name, render(labels))).or_default() += count;
+        render(&mut self.labels, labels);
+        let family = self.families.entry(name);
+        let family = family.or_insert_with(|| Family::Counter(Series::new()));
+        if let Family::Counter(series) = family {
+            match find(series, &self.labels, || Some(0)) {
+                Some(counter) => *counter += count,
+                None => self.dropped += 1,
+            }
+        }
+    }
+
+    /// Sets a gauge.
+    pub fn set(&mut self, name: &'static str, labels: &[(&str, &str)], value: f64) {
+        render(&mut self.labels, labels);
+        let family = self.families.entry(name);
+        let family = family.or_insert_with(|| Family::Gauge(Series::new()));
+        if let Family::Gauge(series) = family {
+            match find(series, &self.labels, || Some(0.0)) {
+                Some(gauge) => *gauge = value,
+                None => self.dropped += 1,
+            }
+        }
     }
 
     /// Notes a latency.
-    pub fn observe(&mut self, name: &'static str, labels: &[(&str, &str)], latency: Duration) {
-        let key = (name, render(labels));
-        if let Some(histogram) = self.latencies.get_mut(&key) {
-            histogram.saturating_record(latency.as_micros() as u64);
-        } else if let Ok(mut histogram) = Histogram::new(DIGITS) {
-            histogram.saturating_record(latency.as_micros() as u64);
-            self.latencies.insert(key, histogram);
+    pub fn observe(
+        &mut self,
+        now: Time,
+        name: &'static str,
+        labels: &[(&str, &str)],
+        latency: Duration,
+    ) {
+        render(&mut self.labels, labels);
+        let family = self.families.entry(name);
+        let family = family.or_insert_with(|| Family::Summary(Series::new()));
+        if let Family::Summary(series) = family {
+            match find(series, &self.labels, || Latency::new(now)) {
+                Some(summary) => summary.record(now, latency),
+                None => self.dropped += 1,
+            }
         }
     }
 
     /// Everything, as Prometheus text.
-    pub fn text(&self) -> String {
+    pub fn text(&self, now: Time) -> String {
         let mut text = String::new();
-        for ((name, labels), count) in &self.counters {
-            let _ = writeln!(text, "{name}{{{labels}}} {count}");
-        }
-        for ((name, labels), histogram) in &self.latencies {
-            let comma = if labels.is_empty() { "" } else { "," };
-            for quantile in QUANTILES {
-                let micros = histogram.value_at_quantile(quantile);
-                let seconds = micros as f64 / 1e6;
-                let _ = writeln!(
-                    text,
-                    "{name}{{{labels}{comma}quantile=\"{quantile}\"}} {seconds}"
-                );
+        for (name, family) in &self.families {
+            let help = catalog::help(name);
+            let _ = writeln!(text, "# HELP {name} {help}");
+            match family {
+                Family::Counter(series) => plain(&mut text, name, "counter", series),
+                Family::Gauge(series) => plain(&mut text, name, "gauge", series),
+                Family::Summary(series) => summaries(&mut text, now, name, series),
             }
-            let _ = writeln!(text, "{name}_count{{{labels}}} {}", histogram.len());
         }
+        let name = "lentillift_series_dropped_total";
+        let help = catalog::help(name);
+        let _ = writeln!(text, "# HELP {name} {help}\n# TYPE {name} counter");
+        let _ = writeln!(text, "{name} {}", self.dropped);
         text
     }
 }
 
-fn render(labels: &[(&str, &str)]) -> Labels {
-    let labels = labels
-        .iter()
-        .map(|(name, value)| format!("{name}={value:?}"));
-    labels.collect::<Vec<_>>().join(",")
+/// The series with these labels, made if there is room for one more.
+fn find<'a, T, F>(series: &'a mut Series<T>, labels: &str, make: F) -> Option<&'a mut T>
+where
+    F: FnOnce() -> Option<T>,
+{
+    if !series.contains_key(labels) {
+        if series.len() >= MOST_SERIES {
+            return None;
+        }
+        series.insert(labels.to_owned(), make()?);
+    }
+    series.get_mut(labels)
+}
+
+fn plain<T>(text: &mut String, name: &str, kind: &str, series: &Series<T>)
+where
+    T: std::fmt::Display,
+{
+    let _ = writeln!(text, "# TYPE {name} {kind}");
+    for (labels, value) in series {
+        let _ = writeln!(text, "{name}{} {value}", braces(labels));
+    }
+}
+
+fn summaries(text: &mut String, now: Time, name: &str, series: &Series<Latency>) {
+    let _ = writeln!(text, "# TYPE {name} summary");
+    for (labels, latency) in series {
+        let comma = if labels.is_empty() { "" } else { "," };
+        for (quantile, value) in QUANTILES.iter().zip(latency.quantiles(now, &QUANTILES)) {
+            let seconds = value.as_secs_f64();
+            let _ = writeln!(
+                text,
+                "{name}{{{labels}{comma}quantile=\"{quantile}\"}} {seconds}"
+            );
+        }
+        let labels = braces(labels);
+        let _ = writeln!(text, "{name}_sum{labels} {}", latency.sum().as_secs_f64());
+        let _ = writeln!(text, "{name}_count{labels} {}", latency.count());
+    }
+}
+
+fn braces(labels: &str) -> String {
+    match labels.is_empty() {
+        true => String::new(),
+        false => format!("{{{labels}}}"),
+    }
+}
+
+/// Writes labels by the rules of Prometheus' text format: backslash, quote and line end escaped.
+fn render(text: &mut String, labels: &[(&str, &str)]) {
+    text.clear();
+    for (name, value) in labels {
+        if !text.is_empty() {
+            text.push(',');
+        }
+        text.push_str(name);
+        text.push_str("=\"");
+        for character in value.chars() {
+            match character {
+                '\\' => text.push_str("\\\\"),
+                '"' => text.push_str("\\\""),
+                '\n' => text.push_str("\\n"),
+                other => text.push(other),
+            }
+        }
+        text.push('"');
+    }
 }
--- a/crates/lentillift-operator/src/server.rs
+++ b/crates/lentillift-operator/src/server.rs
@@ -1,122 +1,23 @@
 //! The listener for operators.
 
-use crate::event::Page;
-use crate::event::Timeline;
-use crate::metric::Metrics;
+pub use crate::board::Board;
 use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use lentillift_core::id;
-use lentillift_core::time::Clock;
+use http::header::CONTENT_TYPE;
 use lentillift_http::listener;
 use lentillift_http::listener::Options;
 use lentillift_http::listener::json;
 use lentillift_http::listener::plain;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::time::Duration;
+use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-/// What a process tells its operators.
-#[derive(Debug)]
-struct State {
-    metrics: Metrics,
-    timeline: Timeline,
-    ready: bool,
-    status: serde_json::Value,
-}
-
-/// Where the tasks of a process leave what operators may want to know.
-#[derive(Debug, Clone)]
-pub struct Board {
-    host: id::Host,
-    incarnation: id::Incarnation,
-    clock: Clock,
-    state: Arc<Mutex<State>>,
-}
-
-impl Board {
-    /// Starts with nothing to tell, and not ready.
-    pub fn new(host: id::Host, incarnation: id::Incarnation, clock: Clock) -> Self {
-        let state = State {
-            metrics: Metrics::default(),
-            timeline: Timeline::default(),
-            ready: false,
-            status: serde_json::Value::Null,
-        };
-        Self {
-            host,
-            incarnation,
-            clock,
-            state: Arc::new(Mutex::new(state)),
-        }
-    }
-
-    /// Adds to a counter.
-    pub fn add(&self, name: &'static str, labels: &[(&str, &str)], count: u64) {
-        self.lock().metrics.add(name, labels, count);
-    }
-
-    /// Notes a latency.
-    pub fn observe(&self, name: &'static str, labels: &[(&str, &str)], latency: Duration) {
-        self.lock().metrics.observe(name, labels, latency);
-    }
-
-    /// Appends to the time line.
-    pub fn event(&self, kind: &str, subject: &str, detail: impl Into<String>) {
-        let now = self.clock.now();
-        self.lock().timeline.push(now, kind, subject, detail.into());
-    }
-
-    /// Sets whether the balancer may send callers here.
-    pub fn set_ready(&self, ready: bool) {
-        self.lock().ready = ready;
-    }
-
-    /// Whether the balancer may send callers here.
-    pub fn is_ready(&self) -> bool {
-        self.lock().ready
-    }
-
-    /// Sets what `/status` returns.
-    pub fn set_status(&self, status: serde_json::Value) {
-        self.lock().status = status;
-    }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn handle(&self, request: &Request<Bytes>) -> Response<Bytes> {
-        match request.uri().path() {
-            "/healthz" => plain(StatusCode::OK, "ok".to_owned()),
-            "/readyz" if self.is_ready() => plain(StatusCode::OK, "ready".to_owned()),
-            "/readyz" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned()),
-            "/metrics" => plain(StatusCode::OK, self.lock().metrics.text()),
-            "/status" => json(StatusCode::OK, self.lock().status.to_string().into_bytes()),
-            "/timeline" => self.timeline(request.uri().query()),
-            _ => plain(StatusCode::NOT_FOUND, "no such route".to_owned()),
-        }
-    }
-
-    fn timeline(&self, query: Option<&str>) -> Response<Bytes> {
-        let since = query.and_then(|query| query.strip_prefix("since="));
-        let since = since.and_then(|since| since.parse().ok()).unwrap_or(0);
-        let page = Page {
-            host: self.host.clone(),
-            incarnation: self.incarnation,
-            events: self.lock().timeline.since(since).cloned().collect(),
-        };
-        json(
-            StatusCode::OK,
-            serde_json::to_vec(&page).unwrap_or_default(),
-        )
-    }
-}
+/// Kind of content that `/metrics` returns.
+const METRICS: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
 
 /// Serves operators until `stop` turns true.
 pub async fn serve(
@@ -127,7 +28,55 @@
 ) {
     let handler = move |request: Request<Bytes>| {
         let board = board.clone();
-        async move { board.handle(&request) }
+        async move { handle(&board, &request) }
     };
     listener::serve(listener, options, stop, handler).await;
 }
+
+fn handle(board: &Board, request: &Request<Bytes>) -> Response<Bytes> {
+    if !matches!(*request.method(), Method::GET | Method::HEAD) {
+        return plain(StatusCode::METHOD_NOT_ALLOWED, "GET is right".to_owned());
+    }
+    match request.uri().path() {
+        "/healthz" => plain(StatusCode::OK, "ok".to_owned()),
+        "/readyz" if board.is_ready() => plain(StatusCode::OK, "ready".to_owned()),
+        "/readyz" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned()),
+        "/metrics" => metrics(board),
+        "/status" => value(&board.status()),
+        "/timeline" => timeline(board, request.uri().query()),
+        _ => plain(
+            StatusCode::NOT_FOUND,
+            "right is one of /healthz /readyz /metrics /status /timeline".to_owned(),
+        ),
+    }
+}
+
+fn metrics(board: &Board) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(board.metrics()));
+    response.headers_mut().insert(CONTENT_TYPE, METRICS);
+    response
+}
+
+fn timeline(board: &Board, query: Option<&str>) -> Response<Bytes> {
+    let since = match query.map(|query| query.strip_prefix("since=").unwrap_or(query)) {
+        None => Ok(0),
+        Some(since) => since.parse(),
+    };
+    match since {
+        Ok(since) => value(&board.timeline(since)),
+        Err(_) => plain(
+            StatusCode::BAD_REQUEST,
+            "since: right is the number of an event".to_owned(),
+        ),
+    }
+}
+
+fn value<T>(value: &T) -> Response<Bytes>
+where
+    T: Serialize,
+{
+    json(
+        StatusCode::OK,
+        serde_json::to_vec(value).unwrap_or_default(),
+    )
+}
--- a/crates/lentillift-settings/src/kind.rs
+++ b/crates/lentillift-settings/src/kind.rs
@@ -69,11 +69,11 @@
             }
             Self::Placement => {
                 let placement: Placement = document.decode(&placement::SHAPE)?;
-                document.verdict(placement.faults())
+                document.verdict(review::placement(&placement))
             }
             Self::Hosts => {
                 let roster: Roster = document.decode(&roster::SHAPE)?;
-                document.verdict(roster.faults())
+                document.verdict(review::roster(&roster))
             }
         }
     }
--- a/crates/lentillift-settings/src/placement.rs
+++ b/crates/lentillift-settings/src/placement.rs
@@ -1,17 +1,13 @@
 //! Where a service's data is: its backend servers and its snapshots' shard maps.
 
-use crate::fault::Fault;
 use crate::review;
 use crate::shape::Shape;
-use crate::shape::quoted;
 use crate::shape::required;
 use lentillift_core::id;
 use lentillift_core::snapshot::Map;
-use lentillift_core::snapshot::Part;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// Published state of a backend server or of a host.
@@ -49,38 +45,10 @@
 }
 
 impl Placement {
-    /// Faults that concern more than one field.
-    pub fn faults(&self) -> Vec<Fault> {
-        let mut faults = Vec::new();
-        let mut snapshots = BTreeSet::new();
-        for (at, map) in self.maps.iter().enumerate() {
-            let at = at.to_string();
-            if !snapshots.insert(map.snapshot) {
-                let path = ["maps", &at, "snapshot"];
-                let found = format!("{} a second time", map.snapshot);
-                faults.push(Fault::new(path, found, "each snapshot once"));
-            }
-            self.check_parts(&at, &map.parts, &mut faults);
-        }
-        faults
-    }
-
-    fn check_parts(&self, map: &str, parts: &[Part], faults: &mut Vec<Fault>) {
-        let mut shards = BTreeSet::new();
-        for (at, part) in parts.iter().enumerate() {
-            let at = at.to_string();
-            if !shards.insert(part.shard) {
-                let path = ["maps", map, "parts", &at, "shard"];
-                let found = format!("{} a second time", part.shard);
-                faults.push(Fault::new(path, found, "each shard once in a map"));
-            }
-            let unknown = part.replicas.iter().enumerate();
-            for (number, name) in unknown.filter(|(_, name)| !self.servers.contains_key(*name)) {
-                let number = number.to_string();
-                let path = ["maps", map, "parts", &at, "replicas", &number];
-                faults.push(Fault::new(path, quoted(name), "the name of one of servers"));
-            }
-        }
+    /// All that makes the placement unfit to be in force.
+    pub fn faults(&self) -> Vec<String> {
+        let faults = review::placement(self).into_iter();
+        faults.map(|fault| fault.to_string()).collect()
     }
 }
 
--- a/crates/lentillift-settings/src/review.rs
+++ b/crates/lentillift-settings/src/review.rs
@@ -1,9 +1,14 @@
-//! Bounds of fields, and what makes a configuration unfit to be in force.
+//! Bounds of fields, and what makes a published value unfit to be in force.
 
 use crate::config::Config;
 use crate::fault::Fault;
+use crate::placement::Placement;
+use crate::roster::Roster;
 use crate::shape::Shape;
 use crate::shape::quoted;
+use lentillift_core::snapshot::Part;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// A revision. Zero is what a process holds that has read nothing yet.
 pub const REVISION: Shape = Shape::Whole(1, MOST_REVISION);
@@ -82,8 +87,7 @@
 /// All that makes a configuration unfit to be in force.
 pub fn config(config: &Config) -> Vec<Fault> {
     let mut faults = Vec::new();
-    let revision = ["revision"];
-    bound(revision, config.revision, 1, MOST_REVISION, &mut faults);
+    revision(config.revision, &mut faults);
     domains(config, &mut faults);
     for (name, class) in &config.classes {
         let path = ["classes", name, "queue_ms"];
@@ -156,6 +160,61 @@
     }
 }
 
+/// All that makes a placement unfit to be in force.
+pub fn placement(placement: &Placement) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    revision(placement.revision, &mut faults);
+    let mut snapshots = BTreeSet::new();
+    for (at, map) in placement.maps.iter().enumerate() {
+        let at = at.to_string();
+        if !snapshots.insert(map.snapshot) {
+            let path = ["maps", &at, "snapshot"];
+            let found = format!("{} a second time", map.snapshot);
+            faults.push(Fault::new(path, found, "each snapshot once"));
+        }
+        parts(placement, &at, &map.parts, &mut faults);
+    }
+    faults
+}
+
+fn parts(placement: &Placement, map: &str, parts: &[Part], faults: &mut Vec<Fault>) {
+    let mut shards = BTreeSet::new();
+    for (at, part) in parts.iter().enumerate() {
+        let at = at.to_string();
+        if !shards.insert(part.shard) {
+            let path = ["maps", map, "parts", &at, "shard"];
+            let found = format!("{} a second time", part.shard);
+            faults.push(Fault::new(path, found, "each shard once in a map"));
+        }
+        for (number, name) in part.replicas.iter().enumerate() {
+            if !placement.servers.contains_key(name) {
+                let number = number.to_string();
+                let path = ["maps", map, "parts", &at, "replicas", &number];
+                faults.push(Fault::new(path, quoted(name), "the name of one of servers"));
+            }
+        }
+    }
+}
+
+/// All that makes a list of hosts unfit to be in force.
+pub fn roster(roster: &Roster) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    revision(roster.revision, &mut faults);
+    let mut addresses = BTreeMap::new();
+    for (host, entry) in &roster.hosts {
+        if let Some(other) = addresses.insert(entry.address, host) {
+            let path = ["hosts", host, "address"];
+            let found = format!("{}, which is also that of {other}", entry.address);
+            faults.push(Fault::new(path, found, "an address of its own"));
+        }
+    }
+    faults
+}
+
+fn revision(revision: u64, faults: &mut Vec<Fault>) {
+    bound(["revision"], revision, 1, MOST_REVISION, faults);
+}
+
 fn bound<const N: usize>(
     path: [&str; N],
     found: u64,
--- a/crates/lentillift-settings/src/roster.rs
+++ b/crates/lentillift-settings/src/roster.rs
@@ -1,6 +1,5 @@
 //! The published list of hosts that run the system.
 
-use crate::fault::Fault;
 use crate::placement::SERVER;
 use crate::placement::State;
 use crate::review;
@@ -33,18 +32,10 @@
 }
 
 impl Roster {
-    /// Faults that concern more than one field.
-    pub fn faults(&self) -> Vec<Fault> {
-        let mut faults = Vec::new();
-        let mut addresses = BTreeMap::new();
-        for (host, entry) in &self.hosts {
-            if let Some(other) = addresses.insert(entry.address, host) {
-                let path = ["hosts", host, "address"];
-                let found = format!("{}, which is also that of {other}", entry.address);
-                faults.push(Fault::new(path, found, "an address of its own"));
-            }
-        }
-        faults
+    /// All that makes the list unfit to be in force.
+    pub fn faults(&self) -> Vec<String> {
+        let faults = review::roster(self).into_iter();
+        faults.map(|fault| fault.to_string()).collect()
     }
 }
 
--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::peers;
 use crate::peers::Desks;
 use crate::peers::Peers;
+use crate::report;
 use crate::view;
 use lentillift_caller::call::Call;
 use lentillift_core::error::Error;
@@ -115,6 +116,9 @@
         let owner = owner::Task::new(host, clock, peers, board.clone(), owner_mail);
         tokio::spawn(owner.run(for_owner, seen));
 
+        let domain = settings.domain.clone();
+        tokio::spawn(report::views(board.clone(), domain, view.subscribe()));
+
         let platform = Client::new(settings.platform_address);
         tokio::spawn(view::Task::new(platform, board.clone(), view).run());
 
--- a/crates/lentilliftd/src/entry.rs
+++ b/crates/lentilliftd/src/entry.rs
@@ -1,6 +1,7 @@
 //! The task that serves queries.
 
 use crate::peers::Peers;
+use crate::report;
 use lentillift_caller::call::Call;
 use lentillift_core::id;
 use lentillift_core::refusal::Refusal;
@@ -53,6 +54,7 @@
     clock: Clock,
     peers: Peers,
     board: Board,
+    view: Arc<View>,
 }
 
 impl Task {
@@ -64,6 +66,7 @@
             clock,
             peers,
             board,
+            view: Arc::default(),
         }
     }
 
@@ -73,15 +76,23 @@
         mut mail: mpsc::Receiver<Mail>,
         mut view: watch::Receiver<Arc<View>>,
     ) {
+        let mut reports = report::times();
         loop {
             let wake = self.entry.next_wake();
             let event = tokio::select! {
+                _ = reports.tick() => {
+                    report::entry(&self.board, self.waiting.len());
+                    None
+                }
                 received = mail.recv() => match received {
                     Some(received) => self.open(received),
                     None => return,
                 },
                 changed = view.changed() => match changed {
-                    Ok(()) => Some(Event::View(view.borrow_and_update().clone())),
+                    Ok(()) => {
+                        self.view = view.borrow_and_update().clone();
+                        Some(Event::View(self.view.clone()))
+                    }
                     Err(_) => return,
                 },
                 () = until(self.clock, wake) => Some(Event::Tick),
@@ -133,20 +144,13 @@
         let Some(waiting) = self.waiting.remove(&request) else {
             return;
         };
-        let labels = [("service", &*waiting.service)];
+        let service = &waiting.service;
         match &answer {
             Ok(answer) => {
                 let latency = self.clock.now() - waiting.since;
-                self.board
-                    .observe("lentillift_query_seconds", &labels, latency);
-                let coverage = &answer.coverage;
-                let shards = u64::from(coverage.shards);
-                let answered = u64::from(coverage.answered);
-                self.board.add("lentillift_shards_total", &labels, shards);
-                self.board
-                    .add("lentillift_shards_answered_total", &labels, answered);
+                report::answer(&self.board, &self.view, service, latency, answer);
             }
-            Err(_) => self.board.add("lentillift_refusals_total", &labels, 1),
+            Err(refusal) => report::refusal(&self.board, &self.view, service, refusal),
         }
         // The caller may have gone away meanwhile.
         let _ = waiting.reply.send(answer);
--- a/crates/lentilliftd/src/lib.rs
+++ b/crates/lentilliftd/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod once;
 pub mod owner;
 pub mod peers;
+mod report;
 pub mod view;
--- a/crates/lentilliftd/src/owner.rs
+++ b/crates/lentilliftd/src/owner.rs
@@ -1,6 +1,7 @@
 //! The task that owns backend servers.
 
 use crate::peers::Peers;
+use crate::report;
 use lentillift_backend::client;
 use lentillift_backend::client::Client;
 use lentillift_core::id;
@@ -53,6 +54,7 @@
 /// The task that owns backend servers.
 #[derive(Debug)]
 pub struct Task {
+    host: id::Host,
     owner: Owner,
     view: Arc<View>,
     clients: HashMap<id::Backend, (SocketAddr, Client)>,
@@ -72,7 +74,8 @@
         mail: mpsc::Sender<Mail>,
     ) -> Self {
         Self {
-            owner: Owner::new(host),
+            owner: Owner::new(host.clone()),
+            host,
             view: Arc::default(),
             clients: HashMap::new(),
             clock,
@@ -88,8 +91,13 @@
         mut mail: mpsc::Receiver<Mail>,
         mut view: watch::Receiver<Arc<View>>,
     ) {
+        let mut reports = report::times();
         loop {
             let event = tokio::select! {
+                _ = reports.tick() => {
+                    report::owner(&self.board, &self.view, &self.host, &self.owner);
+                    continue;
+                }
                 received = mail.recv() => match received {
                     Some(received) => open(received),
                     None => return,
