Show the fleet, put a query and merge time lines from the command line

Cause: an operator at night had only curl and one process at a time; clocks of hosts differ by more than events lie apart, so time lines laid side by side show effects before their causes.

Events keep the order of their process, and what was received comes after it was sent.

The page's script was run with node on a stand-in for the page's elements (draw, filter, zoom, choose); it was not looked at in a browser.

--- a/crates/lentillift/src/command.rs
+++ b/crates/lentillift/src/command.rs
@@ -4,7 +4,10 @@
 pub(crate) mod configure;
 pub(crate) mod diff;
 pub(crate) mod init;
+pub(crate) mod query;
 pub(crate) mod service;
+pub(crate) mod status;
+pub(crate) mod timeline;
 
 use crate::exit;
 use crate::exit::Exit;
@@ -43,6 +46,9 @@
     diff::COMMAND,
     service::DOMAIN,
     service::HOST,
+    status::COMMAND,
+    query::COMMAND,
+    timeline::COMMAND,
 ];
 
 /// A command line that is wrong.
--- /dev/null
+++ b/crates/lentillift/src/command/status.rs
@@ -0,0 +1,285 @@
+//! `lentillift status`: the fleet at a glance.
+
+use crate::command::Command;
+use crate::command::Usage;
+use crate::command::show;
+use crate::command::show_json;
+use crate::exit::Exit;
+use crate::fetch;
+use crate::fetch::Fetched;
+use crate::table::Table;
+use crate::table::alarm;
+use getopts::Matches;
+use getopts::Options;
+use lentillift::fleet::Fleet;
+use lentillift_operator::status::Status;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Pause between two looks while a revision is waited for.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest wait for a revision when the command line does not say, in seconds.
+const WAIT_S: u64 = 30;
+
+/// The command.
+pub(crate) const COMMAND: Command = Command {
+    name: "status",
+    arguments: "ADDR...",
+    summary: "show the fleet at a glance",
+    about:
+        "Asks the operators' port of each process and shows the revision in force on each, failure
+domains in and out, backend servers owned, cold and queued, and coverage, p99 and
+refusals of each service today, with what declines over the days. A process keeps 62
+days at most and forgets them when it ends; for longer times keep /metrics elsewhere.",
+    examples: &[
+        (
+            "lentillift status 10.0.0.1:7072 10.0.0.2:7072",
+            "Look at two processes.",
+        ),
+        (
+            "lentillift status --wait-revision 7 10.0.0.1:7072 10.0.0.2:7072",
+            "Wait until revision 7 is in force on both; exit code 1 if it isn't in time.",
+        ),
+        (
+            "lentillift status --days 7 10.0.0.1:7072",
+            "Show a line for each service and day.",
+        ),
+    ],
+    options,
+    run,
+};
+
+fn options(options: &mut Options) {
+    options.optopt(
+        "",
+        "wait-revision",
+        "wait until revision N is in force on all",
+        "N",
+    );
+    options.optopt("", "timeout", "longest wait, in seconds (30)", "S");
+    options.optopt("", "days", "show the last N days of each service", "N");
+}
+
+fn run(matches: &Matches) -> anyhow::Result<Exit> {
+    let addresses = fetch::addresses(&matches.free)?;
+    let days = number(matches, "days")?.unwrap_or(0) as usize;
+    let timeout = number(matches, "timeout")?.unwrap_or(WAIT_S);
+    if let Some(revision) = number(matches, "wait-revision")? {
+        return wait(matches, &addresses, revision, Duration::from_secs(timeout));
+    }
+    let fetched = fetch::all::<Status>(&addresses, "/status");
+    fetch::any(&fetched)?;
+    let (fleet, lost) = split(fetched);
+    if matches.opt_present("json") {
+        show_json(&serde_json::json!({ "fleet": fleet, "unreachable": lost }))?;
+    } else {
+        show(&text(&fleet, &lost, days));
+    }
+    Ok(match lost.is_empty() {
+        true => Exit::Done,
+        false => Exit::Unreachable,
+    })
+}
+
+fn number<T>(matches: &Matches, name: &str) -> Result<Option<T>, Usage>
+where
+    T: FromStr,
+{
+    let text = matches.opt_str(name);
+    let wrong = |text| Usage(format!("--{name}: found {text}, right is a whole number"));
+    text.map(|text| text.parse().map_err(|_| wrong(text)))
+        .transpose()
+}
+
+/// Puts the answers together and lists those that did not come.
+fn split(fetched: Vec<Fetched<Status>>) -> (Fleet, Vec<(SocketAddr, String)>) {
+    let mut statuses = Vec::new();
+    let mut lost = Vec::new();
+    for one in fetched {
+        match one.result {
+            Ok(status) => statuses.push(status),
+            Err(error) => lost.push((one.address, error)),
+        }
+    }
+    (Fleet::new(&statuses), lost)
+}
+
+fn wait(
+    matches: &Matches,
+    addresses: &[SocketAddr],
+    revision: u64,
+    timeout: Duration,
+) -> anyhow::Result<Exit> {
+    let started = Instant::now();
+    let mut told = None;
+    loop {
+        let (fleet, lost) = split(fetch::all(addresses, "/status"));
+        let behind = fleet.nodes.iter().filter(|node| node.revision < revision);
+        let behind: Vec<String> = behind.map(|node| node.host.to_string()).collect();
+        let missing = lost.iter().map(|(address, _)| address.to_string());
+        let awaited: Vec<String> = behind.into_iter().chain(missing).collect();
+        let waited = started.elapsed();
+        if awaited.is_empty() || waited >= timeout {
+            let done = awaited.is_empty();
+            if matches.opt_present("json") {
+                show_json(&serde_json::json!({
+                    "revision": revision,
+                    "in_force": done,
+                    "awaited": awaited,
+                    "waited_s": waited.as_secs_f64(),
+                }))?;
+            } else if done {
+                let nodes = fleet.nodes.len();
+                show(&format!(
+                    "Revision {revision} is in force on all {nodes}.\n"
+                ));
+            } else {
+                eprintln!(
+                    "Revision {revision} is not in force on {}.",
+                    awaited.join(", ")
+                );
+            }
+            return Ok(if done { Exit::Done } else { Exit::Failed });
+        }
+        if told.replace(awaited.len()) != Some(awaited.len()) {
+            eprintln!("Waiting for {} of {}.", awaited.len(), addresses.len());
+        }
+        std::thread::sleep(PAUSE);
+    }
+}
+
+fn text(fleet: &Fleet, lost: &[(SocketAddr, String)], days: usize) -> String {
+    let mut text = nodes(fleet);
+    for (address, error) in lost {
+        let line = format!("{address}: not reached: {error}");
+        let _ = writeln!(text, "{}", alarm(&line));
+    }
+    text.push('\n');
+    text.push_str(&standing(fleet));
+    if !fleet.services.is_empty() {
+        text.push('\n');
+        text.push_str(&services(fleet, days));
+    }
+    for (name, service) in &fleet.services {
+        for decline in &service.declines {
+            let _ = writeln!(text, "{}", alarm(&format!("DECLINE {name}: {decline}")));
+        }
+    }
+    text
+}
+
+fn nodes(fleet: &Fleet) -> String {
+    let mut table = Table::new(&[
+        "HOST",
+        "DOMAIN",
+        "READY",
+        "REVISION",
+        "UP",
+        "SEES",
+        "OWNS",
+        "COLD",
+        "IN FLIGHT",
+        "QUEUE",
+        "WAITING",
+    ]);
+    for node in &fleet.nodes {
+        table.push(vec![
+            node.host.to_string(),
+            node.domain.to_string(),
+            if node.ready { "yes" } else { "NO" }.to_owned(),
+            node.revision.to_string(),
+            age(node.uptime_s),
+            node.alive.to_string(),
+            node.owned.to_string(),
+            node.cold.to_string(),
+            node.in_flight.to_string(),
+            node.queue.to_string(),
+            node.waiting.to_string(),
+        ]);
+    }
+    table.text()
+}
+
+fn age(seconds: u64) -> String {
+    match seconds {
+        0..60 => format!("{seconds}s"),
+        60..3600 => format!("{}m", seconds / 60),
+        3600..86_400 => format!("{}h", seconds / 3600),
+        _ => format!("{}d", seconds / 86_400),
+    }
+}
+
+fn standing(fleet: &Fleet) -> String {
+    let mut text = String::new();
+    let domains = fleet.domains.iter().map(|(name, is_in)| match is_in {
+        true => format!("{name} in"),
+        false => alarm(&format!("{name} OUT")),
+    });
+    let domains: Vec<String> = domains.collect();
+    let _ = writeln!(text, "Failure domains: {}.", domains.join(", "));
+    if !fleet.hosts_out.is_empty() {
+        let hosts: Vec<&str> = fleet.hosts_out.iter().map(|host| &**host).collect();
+        let _ = writeln!(text, "Hosts out: {}.", hosts.join(", "));
+    }
+    if fleet.revisions.len() > 1 {
+        let each = fleet.revisions.iter().rev().map(|(revision, hosts)| {
+            let hosts: Vec<&str> = hosts.iter().map(|host| &**host).collect();
+            format!("{revision} on {}", hosts.join(", "))
+        });
+        let each: Vec<String> = each.collect();
+        let line = format!("Revisions differ: {}.", each.join("; "));
+        let _ = writeln!(text, "{}", alarm(&line));
+    }
+    text
+}
+
+fn services(fleet: &Fleet, days: usize) -> String {
+    let mut table = Table::new(&[
+        "SERVICE",
+        "SPAN",
+        "ANSWERS",
+        "FULL",
+        "COVERAGE",
+        "WORST P99",
+        "REFUSALS",
+    ]);
+    for (name, service) in &fleet.services {
+        let today = service.days.len().saturating_sub(days.max(1));
+        let recent = service.days[today..]
+            .iter()
+            .map(|day| (date(day.start_s), day));
+        let hour = service.hour.iter().map(|hour| ("hour".to_owned(), hour));
+        for (span, figures) in recent.chain(hour) {
+            table.push(vec![
+                name.to_string(),
+                span,
+                figures.answers.to_string(),
+                figures.full.to_string(),
+                format!("{:.3}%", figures.coverage * 100.0),
+                format!("{:.0} ms", figures.p99_ms),
+                figures.refusals.to_string(),
+            ]);
+        }
+    }
+    table.text()
+}
+
+/// The date of a time since 1970, in UTC.
+///
+/// The arithmetic of the Gregorian calendar in days from 1 March of year 0, where a leap day is
+/// the last day of its year.
+fn date(seconds: u64) -> String {
+    let days = seconds / 86_400 + 719_468;
+    let (era, day) = (days / 146_097, days % 146_097);
+    let year = (day - day / 1460 + day / 36_524 - day / 146_096) / 365;
+    let day = day - (365 * year + year / 4 - year / 100);
+    let month = (5 * day + 2) / 153;
+    let day = day - (153 * month + 2) / 5 + 1;
+    let month = if month < 10 { month + 3 } else { month - 9 };
+    let year = year + era * 400 + u64::from(month <= 2);
+    format!("{year:04}-{month:02}-{day:02}")
+}
--- /dev/null
+++ b/crates/lentillift/src/lib.rs
@@ -0,0 +1,6 @@
+//! What the command-line tool works out from what processes tell it.
+
+#![forbid(unsafe_code)]
+
+pub mod fleet;
+pub mod merge;
--- a/crates/lentillift/src/main.rs
+++ b/crates/lentillift/src/main.rs
@@ -5,6 +5,8 @@
 mod command;
 mod demo;
 mod exit;
+mod fetch;
+mod table;
 
 use crate::exit::Exit;
 use std::fmt::Write;
--- /dev/null
+++ b/crates/lentillift/tests/fleet.rs
@@ -0,0 +1,122 @@
+//! What the tool works out from many processes: one order of events, and slow declines.
+
+use lentillift::fleet::declines;
+use lentillift::fleet::merged;
+use lentillift::merge;
+use lentillift_operator::event::Event;
+use lentillift_operator::event::Note;
+use lentillift_operator::event::Page;
+use lentillift_operator::trend::Span;
+
+/// An event: its clock, its detail, what was handed over, and who sent it.
+type Row = (u64, &'static str, &'static str, &'static str);
+
+fn page(host: &str, rows: &[Row]) -> Page {
+    let event = |(number, (wall_ms, detail, token, from)): (usize, &Row)| {
+        let mut note = Note::new("kind", "subject", *detail);
+        if !token.is_empty() {
+            let from = (!from.is_empty()).then(|| (*from).into());
+            note = note.token(*token, from.as_ref());
+        }
+        Event {
+            number: number as u64 + 1,
+            at_us: 0,
+            wall_ms: *wall_ms,
+            note,
+        }
+    };
+    Page {
+        host: host.into(),
+        incarnation: 1,
+        events: rows.iter().enumerate().map(event).collect(),
+    }
+}
+
+macro_rules! order {
+    ($($name:ident: [$($host:literal => $rows:expr),+] gives $order:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            let merged = merge::order(vec![$(page($host, &$rows)),+]);
+            let found: Vec<(&str, u64)> =
+                merged.iter().map(|p| (p.event.note.detail.as_str(), p.at_ms)).collect();
+            assert_eq!(found, $order);
+        }
+    )+};
+}
+
+order! {
+    by_clock_where_nothing_else_is_known:
+        ["a" => [(1, "a1", "", ""), (5, "a2", "", "")], "b" => [(3, "b1", "", "")]]
+        gives [("a1", 1), ("b1", 3), ("a2", 5)];
+    clock_set_back_within_a_process:
+        ["a" => [(9, "a1", "", ""), (5, "a2", "", "")], "b" => [(7, "b1", "", "")]]
+        gives [("b1", 7), ("a1", 9), ("a2", 9)];
+    received_after_sent_although_the_clock_is_behind:
+        ["a" => [(50, "sent", "config 2", "")], "b" => [(10, "got", "config 2", "a")]]
+        gives [("sent", 50), ("got", 50)];
+    passed_on_from_host_to_host:
+        ["c" => [(1, "third", "config 2", "b")], "b" => [(20, "second", "config 2", "a")],
+         "a" => [(30, "first", "config 2", "")]]
+        gives [("first", 30), ("second", 30), ("third", 30)];
+    sender_unknown_goes_by_clock:
+        ["a" => [(8, "a1", "", "")], "b" => [(3, "b1", "config 2", "gone")]]
+        gives [("b1", 3), ("a1", 8)];
+    circle_is_broken_by_clock:
+        ["a" => [(2, "a1", "x", "b")], "b" => [(1, "b1", "x", "a")]]
+        gives [("b1", 1), ("a1", 2)];
+}
+
+/// Coverage in thousandths and p99 in milliseconds, day by day.
+fn days(days: &[(u32, u32)]) -> Vec<Span> {
+    let day = |(number, (coverage, p99)): (usize, &(u32, u32))| Span {
+        start_s: number as u64 * 86_400,
+        answers: 100,
+        full: 0,
+        refusals: 0,
+        coverage: f64::from(*coverage) / 1000.0,
+        p99_ms: f64::from(*p99),
+    };
+    days.iter().enumerate().map(day).collect()
+}
+
+macro_rules! decline {
+    ($($name:ident: $days:expr => $told:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            let told: [&str; _] = $told;
+            assert_eq!(declines(&days(&$days)), told);
+        }
+    )+};
+}
+
+decline! {
+    two_days_say_nothing: [(1000, 100), (900, 300)] => [];
+    steady: [(1000, 100), (999, 104), (1000, 99), (1000, 101)] => [];
+    one_bad_day_in_between: [(1000, 100), (1000, 100), (900, 400), (1000, 100), (1000, 100)] => [];
+    less_complete_each_day: [(1000, 100), (999, 100), (998, 100), (997, 100), (996, 100), (995, 100)]
+        => ["coverage fell from 99.95% to 99.55% over 6 days"];
+    later_each_day: [(1000, 100), (1000, 105), (1000, 112)]
+        => ["p99 rose from 100 ms to 112 ms over 3 days"];
+}
+
+#[test]
+fn spans_of_processes_come_together() {
+    let span = |start_s, answers, coverage, p99_ms| Span {
+        start_s,
+        answers,
+        full: 0,
+        refusals: 1,
+        coverage,
+        p99_ms,
+    };
+    let spans = [
+        span(0, 30, 1.0, 50.0),
+        span(0, 10, 0.6, 90.0),
+        span(3600, 5, 1.0, 10.0),
+    ];
+    let merged = merged(spans.iter());
+    assert_eq!(merged.len(), 2);
+    assert_eq!((merged[0].answers, merged[0].refusals), (40, 2));
+    assert!((merged[0].coverage - 0.9).abs() < 1e-9);
+    assert_eq!(merged[0].p99_ms, 90.0);
+}
--- /dev/null
+++ b/crates/lentillift/tests/operating.rs
@@ -0,0 +1,271 @@
+//! The operating commands against processes of the system on loopback.
+
+use lentillift_core::id;
+use lentillift_core::snapshot::Map;
+use lentillift_core::snapshot::Part;
+use lentillift_settings::answers::Answers;
+use lentillift_settings::config::Config;
+use lentillift_settings::daemon;
+use lentillift_settings::generate;
+use lentillift_settings::placement::Placement;
+use lentillift_settings::placement::Server;
+use lentillift_settings::placement::State;
+use lentillift_settings::roster::Entry;
+use lentillift_settings::roster::Roster;
+use lentillift_standin::backend::Backend;
+use lentillift_standin::backend::Behavior;
+use lentillift_standin::platform::Platform;
+use lentilliftd::daemon::Daemon;
+use lentilliftd::daemon::Sockets;
+use serde_json::Value;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+use std::process::Output;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+
+const SERVICE: &str = "archive";
+const HOSTS: [(&str, &str); 2] = [("entry-1", "d1"), ("entry-2", "d2")];
+
+/// Two processes, their platform and two backend servers.
+struct Fleet {
+    platform: Platform,
+    config: Config,
+    operators: Vec<String>,
+    callers: Vec<String>,
+    _daemons: Vec<Daemon>,
+    _runtime: Runtime,
+    _stop: watch::Sender<bool>,
+}
+
+fn start() -> Fleet {
+    let answers = include_str!("../../../examples/nafisa.jsonc");
+    let answers = Answers::parse("nafisa", answers).expect("right");
+    let config = generate::generate(&answers).expect("fit").config;
+    let runtime = Runtime::new().expect("runtime");
+    let (stop, stopped) = watch::channel(false);
+    let platform = Platform::default();
+    let mut fleet = Fleet {
+        platform: platform.clone(),
+        config,
+        operators: Vec::new(),
+        callers: Vec::new(),
+        _daemons: Vec::new(),
+        _runtime: runtime,
+        _stop: stop,
+    };
+    let listen = || async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+        let address = listener.local_addr().expect("address");
+        (listener, address)
+    };
+    let (hosts, servers) = fleet._runtime.block_on(async {
+        let (listener, platform_address) = listen().await;
+        tokio::spawn(platform.clone().serve(listener, stopped.clone()));
+        let mut servers = BTreeMap::new();
+        for (number, domain) in ["d1", "d2"].into_iter().enumerate() {
+            let (listener, address) = listen().await;
+            let backend = Backend::new(Behavior::default());
+            tokio::spawn(backend.serve(listener, stopped.clone()));
+            servers.insert(
+                id::Backend::from(format!("a-{number}")),
+                server(address, domain),
+            );
+        }
+        let mut hosts = BTreeMap::new();
+        for (number, (host, domain)) in HOSTS.into_iter().enumerate() {
+            let settings = settings(host, domain, platform_address);
+            let sockets = Sockets::open(&settings).await.expect("ports");
+            let address = |listener: &TcpListener| listener.local_addr().expect("address");
+            fleet.callers.push(address(&sockets.caller).to_string());
+            fleet.operators.push(address(&sockets.operator).to_string());
+            hosts.insert(host.into(), entry(address(&sockets.node), domain));
+            fleet
+                ._daemons
+                .push(Daemon::start(&settings, sockets, number as u64 + 1));
+        }
+        (hosts, servers)
+    });
+    platform.publish(&format!("service/{SERVICE}"), &placement(servers));
+    platform.publish("hosts", &Roster { revision: 1, hosts });
+    platform.publish("config", &fleet.config);
+    fleet
+}
+
+fn server(address: SocketAddr, domain: &str) -> Server {
+    Server {
+        address,
+        domain: domain.into(),
+        state: State::Live,
+    }
+}
+
+fn entry(address: SocketAddr, domain: &str) -> Entry {
+    Entry {
+        address,
+        domain: domain.into(),
+        state: State::Live,
+    }
+}
+
+fn settings(host: &str, domain: &str, platform: SocketAddr) -> daemon::Settings {
+    let any = "127.0.0.1:0";
+    let flags = json!({
+        "host": host,
+        "domain": domain,
+        "caller_address": any,
+        "node_address": any,
+        "operator_address": any,
+        "platform_address": platform,
+    });
+    let flags = flags.as_object().expect("flags");
+    daemon::resolve(None, flags).expect("right").settings
+}
+
+fn placement(servers: BTreeMap<id::Backend, Server>) -> Placement {
+    let part = |shard| Part {
+        shard,
+        weight: 100,
+        replicas: servers.keys().cloned().collect(),
+    };
+    let map = Map {
+        snapshot: 1,
+        parts: (0..4).map(part).collect(),
+    };
+    Placement {
+        revision: 1,
+        servers,
+        maps: vec![map],
+    }
+}
+
+impl Fleet {
+    /// Runs the tool with the operators' ports as its last arguments.
+    fn run(&self, arguments: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lentillift"));
+        command.args(arguments).args(&self.operators);
+        command.output().expect("the tool starts")
+    }
+
+    fn json(&self, arguments: &[&str]) -> Value {
+        let output = self.run(arguments);
+        assert_eq!(output.status.code(), Some(0), "{output:?}");
+        serde_json::from_slice(&output.stdout).expect("JSON")
+    }
+
+    fn query(&self, caller: &str, arguments: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lentillift"));
+        command.args(["query", "--caller", caller]).args(arguments);
+        command.args([&self.callers[0], SERVICE, r#"{"q":"Amina"}"#]);
+        command.output().expect("the tool starts")
+    }
+
+    /// Waits until all processes have revision `revision` in force and serve callers.
+    fn wait(&self, revision: u64) {
+        let number = revision.to_string();
+        let output = self.run(&["status", "--wait-revision", &number]);
+        assert_eq!(output.status.code(), Some(0), "{output:?}");
+    }
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).expect("UTF-8")
+}
+
+#[test]
+fn an_operator_sees_a_revision_come_into_force() {
+    let mut fleet = start();
+    fleet.wait(1);
+    let late = fleet.run(&["status", "--wait-revision", "2", "--timeout", "0"]);
+    assert_eq!(late.status.code(), Some(1));
+    assert!(text(&late.stderr).contains("Revision 2 is not in force on entry-1, entry-2."));
+
+    fleet.config.revision = 2;
+    fleet.config.domains_out.insert("d2".into());
+    fleet.platform.publish("config", &fleet.config);
+    fleet.wait(2);
+    let status = fleet.json(&["status", "--json"]);
+    let status = &status["fleet"];
+    assert_eq!(status["domains"]["d2"], false);
+    assert_eq!(status["revisions"]["2"], json!(["entry-1", "entry-2"]));
+    let output = text(&fleet.run(&["status"]).stdout);
+    assert!(
+        output.contains("Failure domains: d1 in, d2 OUT, d3 in, d4 in."),
+        "{output}"
+    );
+}
+
+#[test]
+fn a_query_and_the_service_it_is_counted_for() {
+    let fleet = start();
+    fleet.wait(1);
+    let answered = fleet.query("clerks", &["--allowance-ms", "5000"]);
+    assert_eq!(answered.status.code(), Some(0), "{answered:?}");
+    let said = text(&answered.stdout);
+    assert!(
+        said.starts_with("Snapshot 1: 4 of 4 shards, 100.000% of the data"),
+        "{said}"
+    );
+    let refused = fleet.query("nobody", &[]);
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(text(&refused.stderr).contains("unknown-caller"));
+
+    let status = fleet.json(&["status", "--json"]);
+    let day = &status["fleet"]["services"][SERVICE]["days"][0];
+    assert_eq!(
+        (&day["answers"], &day["full"]),
+        (&json!(1), &json!(1)),
+        "{status}"
+    );
+    assert_eq!(day["refusals"], 1);
+}
+
+#[test]
+fn events_of_all_processes_come_as_text_json_and_page() {
+    let fleet = start();
+    fleet.wait(1);
+    let events = fleet.json(&["timeline", "--json"]);
+    let hosts = ["entry-1", "entry-2"];
+    let events = events.as_array().expect("events");
+    for host in hosts {
+        assert!(
+            events.iter().any(|event| event["host"] == host),
+            "{events:?}"
+        );
+    }
+    let found = text(&fleet.run(&["timeline", "--find", "entry-2"]).stdout);
+    assert!(found.lines().all(|line| line.contains("entry-2")));
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("timeline.html");
+    let file = file.to_str().expect("UTF-8");
+    assert_eq!(
+        fleet.run(&["timeline", "--html", file]).status.code(),
+        Some(0)
+    );
+    let page = std::fs::read_to_string(file).expect("page");
+    assert!(page.contains("const events = [{"));
+    assert!(!page.contains("http://") && !page.contains("https://"));
+}
+
+/// One of the hosts an operator asks about is gone. The others are shown all the same, and a
+/// script learns of the gap from the exit code.
+#[test]
+fn an_unreachable_process_is_told_apart() {
+    let mut fleet = start();
+    fleet.wait(1);
+    fleet.operators.push("127.0.0.1:1".to_owned());
+    let output = fleet.run(&["status"]);
+    assert_eq!(output.status.code(), Some(3));
+    let said = text(&output.stdout);
+    assert!(
+        said.contains("entry-1") && said.contains("127.0.0.1:1: not reached"),
+        "{said}"
+    );
+    fleet.operators.drain(..2);
+    let output = fleet.run(&["timeline", "--json"]);
+    assert_eq!(output.status.code(), Some(3));
+    assert!(text(&output.stdout).contains("\"error\""));
+}
