--- a/crates/lentillift/src/command/status.rs
+++ b/crates/lentillift/src/command/status.rs
@@ -220,6 +220,9 @@
         false => alarm(&format!("{name} OUT")),
     });
     let domains: Vec<String> = domains.collect();
+    if domains.is_empty() {
+        return alarm("No configuration is in force.") + "\n";
+    }
     let _ = writeln!(text, "Failure domains: {}.", domains.join(", "));
     if !fleet.hosts_out.is_empty() {
         let hosts: Vec<&str> = fleet.hosts_out.iter().map(|host| &**host).collect();
--- a/crates/lentilliftd/src/main.rs
+++ b/crates/lentilliftd/src/main.rs
@@ -14,6 +14,7 @@
 use lentilliftd::daemon::Sockets;
 use serde_json::Map;
 use serde_json::Value;
+use std::io::IsTerminal;
 use std::process::ExitCode;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -128,6 +129,7 @@
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     match log {
         Log::Human => builder.init(),
