--- a/crates/lentillift-settings/src/answers.rs
+++ b/crates/lentillift-settings/src/answers.rs
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Domain {
     /// The region it is in.
-    pub region: String,
+    pub region: id::Region,
 }
 
 /// What operators have taken out of service.
--- a/crates/lentillift-settings/src/config.rs
+++ b/crates/lentillift-settings/src/config.rs
@@ -69,6 +69,9 @@
     pub revision: id::Revision,
     /// The failure domains.
     pub domains: BTreeSet<id::Domain>,
+    /// The region of each failure domain; those that are not named are in one region together.
+    #[serde(default)]
+    pub regions: BTreeMap<id::Domain, id::Region>,
     /// Failure domains that operators have taken out of service.
     #[serde(default)]
     pub domains_out: BTreeSet<id::Domain>,
@@ -95,6 +98,16 @@
         (least..=most).contains(&allowance)
     }
 
+    /// The region that `domain` is in.
+    pub fn region(&self, domain: &id::Domain) -> id::Region {
+        self.regions.get(domain).cloned().unwrap_or_default()
+    }
+
+    /// Whether operators have taken a host, or the failure domain it is in, out of service.
+    pub fn is_out(&self, host: &id::Host, domain: &id::Domain) -> bool {
+        self.hosts_out.contains(host) || self.domains_out.contains(domain)
+    }
+
     /// All that makes the configuration unfit to be in force.
     pub fn faults(&self) -> Vec<String> {
         let faults = review::config(self).into_iter();
@@ -106,6 +119,7 @@
 pub const SHAPE: Shape = Shape::Record(&[
     required("revision", review::REVISION),
     required("domains", Shape::List(&Shape::Name)),
+    optional("regions", Shape::Map(&Shape::Name)),
     optional("domains_out", Shape::List(&Shape::Name)),
     optional("hosts_out", Shape::List(&Shape::Name)),
     required("classes", Shape::Map(&CLASS)),
--- a/crates/lentillift-settings/src/daemon.rs
+++ b/crates/lentillift-settings/src/daemon.rs
@@ -30,6 +30,9 @@
     pub operator_address: SocketAddr,
     /// Where the platform's configuration service listens.
     pub platform_address: SocketAddr,
+    /// Node addresses of some other processes, which a start asks when the platform can't be read.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// How log lines are written.
@@ -72,8 +75,18 @@
     }
 }
 
+impl Item {
+    /// The value of a flag as it would stand in the file.
+    pub fn value(&self, text: &str) -> Value {
+        match self.shape {
+            Shape::List(_) => text.split(',').map(Value::from).collect(),
+            _ => text.into(),
+        }
+    }
+}
+
 /// All settings.
-pub const ITEMS: [Item; 7] = [
+pub const ITEMS: [Item; 8] = [
     item("host", Shape::Name, "name of the host"),
     item("domain", Shape::Name, "failure domain the host is in"),
     item("caller_address", Shape::Address, "where callers connect"),
@@ -92,6 +105,12 @@
         Shape::Address,
         "where the platform's configuration service listens",
     ),
+    Item {
+        name: "seeds",
+        help: "node addresses of some other processes, separated by commas",
+        shape: Shape::List(&Shape::Address),
+        required: false,
+    },
     Item {
         name: "log",
         help: "how log lines are written: human or json",
@@ -109,6 +128,7 @@
     optional(ITEMS[4].name, ITEMS[4].shape),
     optional(ITEMS[5].name, ITEMS[5].shape),
     optional(ITEMS[6].name, ITEMS[6].shape),
+    optional(ITEMS[7].name, ITEMS[7].shape),
 ]);
 
 /// Puts a settings file and flags together; a flag wins over the file.
--- a/crates/lentillift-settings/src/generate.rs
+++ b/crates/lentillift-settings/src/generate.rs
@@ -42,6 +42,7 @@
     let config = Config {
         revision: answers.revision,
         domains: answers.domains.keys().cloned().collect(),
+        regions: regions(answers),
         domains_out: answers.out_of_service.domains.clone(),
         hosts_out: answers.out_of_service.hosts.clone(),
         classes: classes(answers),
@@ -73,6 +74,13 @@
     }
 }
 
+fn regions(answers: &Answers) -> BTreeMap<id::Domain, id::Region> {
+    let domains = answers.domains.iter();
+    domains
+        .map(|(name, domain)| (name.clone(), domain.region.clone()))
+        .collect()
+}
+
 fn classes(answers: &Answers) -> BTreeMap<id::Class, config::Class> {
     let part = queue_part(answers.matters_most);
     let ranked = answers.priorities.iter().zip(0_u8..);
--- a/crates/lentillift-settings/src/review.rs
+++ b/crates/lentillift-settings/src/review.rs
@@ -89,6 +89,7 @@
     let mut faults = Vec::new();
     revision(config.revision, &mut faults);
     domains(config, &mut faults);
+    regions(config, &mut faults);
     for (name, class) in &config.classes {
         let path = ["classes", name, "queue_ms"];
         bound(path, class.queue_ms, 0, MOST_MILLISECONDS, &mut faults);
@@ -116,6 +117,19 @@
     }
 }
 
+fn regions(config: &Config, faults: &mut Vec<Fault>) {
+    for domain in config.regions.keys() {
+        if !config.domains.contains(domain) {
+            let found = "a region of an unknown failure domain";
+            faults.push(Fault::new(
+                ["regions", domain],
+                found,
+                one_of(&config.domains),
+            ));
+        }
+    }
+}
+
 fn services(config: &Config, faults: &mut Vec<Fault>) {
     for (name, service) in &config.services {
         let path = |field| ["services", name, field];
--- a/crates/lentillift-settings/tests/published.rs
+++ b/crates/lentillift-settings/tests/published.rs
@@ -34,6 +34,8 @@
         "domains_out: found \"d9\", right is one of \"d1\", \"d2\", \"d3\", \"d4\"";
     all_domains_out: |c| c.domains_out = c.domains.clone() =>
         "domains_out: found all failure domains, right is at least one in service";
+    region_of_no_domain: |c| drop(c.regions.insert("d9".into(), "main".into())) =>
+        "regions.d9: found a region of an unknown failure domain, right is one of \"d1\", \"d2\", \"d3\", \"d4\"";
     unknown_class: |c| c.services.get_mut("archive").expect("service").class = "x".into() =>
         "services.archive.class: found \"x\", right is one of \"archive\", \"name-search\", \"timetable\"";
     zero_slots: |c| c.services.get_mut("archive").expect("service").slots = 0 =>
@@ -88,8 +90,16 @@
 }"#;
 
 fn flags(flags: &[(&str, &str)]) -> Map<String, Value> {
+    let item = |name| {
+        daemon::ITEMS
+            .iter()
+            .find(|item| item.name == name)
+            .expect("setting")
+    };
     let flags = flags.iter();
-    flags.map(|(n, v)| ((*n).to_owned(), json!(v))).collect()
+    flags
+        .map(|(n, v)| ((*n).to_owned(), item(*n).value(v)))
+        .collect()
 }
 
 #[test]
@@ -99,11 +109,13 @@
         ("operator_address", "127.0.0.1:7072"),
         ("platform_address", "127.0.0.1:7073"),
         ("log", "json"),
+        ("seeds", "10.0.0.1:7071,10.0.0.2:7071"),
     ]);
     let start = daemon::resolve(Some(("s", SETTINGS)), &flags).expect("right");
     assert_eq!(&*start.settings.host, "entry-2");
     assert_eq!(&*start.settings.domain, "d1");
     assert_eq!(start.log, Log::Json);
+    assert_eq!(start.settings.seeds.len(), 2);
 }
 
 #[test]
--- a/crates/lentilliftd/src/main.rs
+++ b/crates/lentilliftd/src/main.rs
@@ -13,7 +13,6 @@
 use lentilliftd::daemon::Daemon;
 use lentilliftd::daemon::Sockets;
 use serde_json::Map;
-use serde_json::Value;
 use std::io::IsTerminal;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -112,7 +111,7 @@
     let mut flags = Map::new();
     for item in ITEMS {
         if let Some(value) = matches.opt_str(&daemon::flag(item.name)) {
-            flags.insert(item.name.to_owned(), Value::String(value));
+            flags.insert(item.name.to_owned(), item.value(&value));
         }
     }
     let file = matches.opt_str("settings");
