--- a/crates/lentillift-operator/src/board.rs
+++ b/crates/lentillift-operator/src/board.rs
@@ -91,9 +91,16 @@
         self.lock().timeline.push(now, wall(), note);
     }
 
-    /// Sets whether the balancer may send callers here.
+    /// Sets whether the balancer may send callers here; a change goes to the time line.
     pub fn set_ready(&self, ready: bool) {
-        self.lock().ready = ready;
+        let was = std::mem::replace(&mut self.lock().ready, ready);
+        if was != ready {
+            let detail = match ready {
+                true => "serves callers",
+                false => "takes no more callers",
+            };
+            self.event("ready", &self.host, detail);
+        }
     }
 
     /// Whether the balancer may send callers here.
@@ -114,7 +121,10 @@
     /// Everything in numbers, as Prometheus text.
     pub fn metrics(&self) -> String {
         let now = self.clock.now();
-        self.lock().metrics.text(now)
+        let mut state = self.lock();
+        let ready = u8::from(state.ready);
+        state.metrics.set("lentillift_ready", &[], ready.into());
+        state.metrics.text(now)
     }
 
     /// How the process stands.
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -1,15 +1,32 @@
 //! What each series means, for Prometheus' `# HELP` lines.
 
 /// Series and their meanings.
-const HELP: [(&str, &str); 7] = [
+const HELP: [(&str, &str); 12] = [
+    (
+        "lentillift_backends_cold",
+        "Backend servers owned here that do not have their full share yet.",
+    ),
+    (
+        "lentillift_backends_owned",
+        "Backend servers owned here that have been sent work.",
+    ),
     (
         "lentillift_dispatches_total",
         "Requests sent to a backend server by its owner.",
     ),
+    ("lentillift_queries_waiting", "Queries whose callers wait."),
     (
         "lentillift_query_seconds",
         "Time from a query's arrival to its answer, over the last one to two minutes.",
     ),
+    (
+        "lentillift_queue",
+        "Sub-requests that wait for the backend servers owned here.",
+    ),
+    (
+        "lentillift_ready",
+        "Whether the process serves callers: 1 or 0.",
+    ),
     (
         "lentillift_refusals_total",
         "Queries that were refused, by cause.",
--- a/crates/lentillift-operator/tests/interface.rs
+++ b/crates/lentillift-operator/tests/interface.rs
@@ -77,7 +77,15 @@
 fn ready_when_the_tasks_say_so() {
     let served = serve();
     served.board.set_ready(true);
+    served.board.set_ready(true);
     assert_eq!(served.get("/readyz").0, 200);
+    assert!(served.get("/metrics").2.contains("lentillift_ready 1\n"));
+    let events = served.board.timeline(0).events;
+    let kinds: Vec<&str> = events
+        .iter()
+        .map(|event| event.note.kind.as_str())
+        .collect();
+    assert_eq!(kinds, ["ready"]);
 }
 
 #[test]
--- a/crates/lentillift/src/main.rs
+++ b/crates/lentillift/src/main.rs
@@ -21,6 +21,11 @@
     if let Some(command) = command::ALL.iter().find(|command| command.name == name) {
         return command.start(rest).into();
     }
+    if let ("help", Some(about)) = (name.as_str(), rest.first())
+        && let Some(command) = command::ALL.iter().find(|command| command.name == about)
+    {
+        return command.start(&["--help".to_owned()]).into();
+    }
     match name.as_str() {
         "demo" => demo::run(),
         "help" | "--help" | "-h" => {
--- a/crates/lentillift/tests/answers.rs
+++ b/crates/lentillift/tests/answers.rs
@@ -52,6 +52,7 @@
     missing_file: ["check", "/nonexistent"] with 1, saying "read /nonexistent";
     unknown_kind: ["check", "--as", "poem", NAFISA] with 2, saying "found poem, right is one of";
     help_shows_examples: ["domain", "--help"] with 0, saying "Examples:\n  lentillift domain out";
+    help_of_a_command: ["help", "timeline"] with 0, saying "Usage: lentillift timeline";
     help_shows_exit_codes: ["check", "-h"] with 0, saying "Exit codes:";
     both_examples_are_right: ["check", NAFISA, KERALA] with 0, saying "right (answers)";
     questionnaire_goes_to_stdout: ["init"] with 0, saying "\"matters_most\"";
--- a/crates/lentilliftd/src/report.rs
+++ b/crates/lentilliftd/src/report.rs
@@ -104,6 +104,11 @@
         };
         section.insert(name.clone(), server);
     }
+    let cold = section.values().filter(|server| !server.warm).count();
+    let queue: usize = section.values().map(|server| server.queue).sum();
+    board.set("lentillift_backends_owned", &[], section.len() as f64);
+    board.set("lentillift_backends_cold", &[], cold as f64);
+    board.set("lentillift_queue", &[], queue as f64);
     board.set_section("owner", &section);
 }
 
