--- a/crates/lentillift-caller/src/render.rs
+++ b/crates/lentillift-caller/src/render.rs
@@ -1,6 +1,5 @@
 //! Answers and refusals as callers get them.
 
-use crate::call::Settled;
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
@@ -13,18 +12,29 @@
 use lentillift_core::refusal::Refusal;
 use lentillift_entry::answer::Answer;
 use lentillift_http::listener::json;
+use lentillift_once::submit::Settled;
 use serde::Serialize;
 use serde_json::value::RawValue;
+use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Header with the share of the data that an answer covers.
 pub const COVERAGE: &str = "x-coverage";
 
+/// Header that says whether all shards are in an answer.
+pub const COMPLETE: &str = "x-complete";
+
+/// Header with the number of missing shards for each reason, such as `deadline=2,cold=1`.
+pub const MISSING: &str = "x-missing";
+
 /// Header that says whether a request ran.
 pub const OUTCOME: &str = "x-outcome";
 
 #[derive(Serialize)]
 struct Body<'a> {
     snapshot: id::Snapshot,
+    /// Whether no shard is missing: what tells "no such notice" from "not all was searched".
+    complete: bool,
     share: f64,
     coverage: &'a Coverage,
     hits: Vec<&'a RawValue>,
@@ -41,31 +51,41 @@
 
 /// An answer to a query.
 pub fn answer(answer: &Answer) -> Response<Bytes> {
-    let share = answer.coverage.share();
+    let coverage = &answer.coverage;
     let hits = answer.hits.iter();
     let body = Body {
         snapshot: answer.snapshot,
-        share,
-        coverage: &answer.coverage,
+        complete: coverage.is_full(),
+        share: coverage.share(),
+        coverage,
         hits: hits
             .filter_map(|hit| serde_json::from_str(&hit.json).ok())
             .collect(),
     };
     let body = serde_json::to_vec(&body).unwrap_or_default();
     let mut response = json(StatusCode::OK, body);
-    insert(&mut response, COVERAGE, &format!("{share:.6}"));
+    insert(&mut response, COVERAGE, &coverage.to_string());
+    insert(&mut response, COMPLETE, &coverage.is_full().to_string());
+    insert(&mut response, MISSING, &missing(coverage));
     insert(&mut response, "x-snapshot", &answer.snapshot.to_string());
     insert(&mut response, OUTCOME, "done");
     response
 }
 
+/// How many shards are missing for each reason; empty when none is.
+fn missing(coverage: &Coverage) -> String {
+    let mut reasons = BTreeMap::<_, u32>::new();
+    for missing in &coverage.missing {
+        *reasons.entry(missing.reason).or_default() += 1;
+    }
+    let reasons = reasons.into_iter();
+    let reasons = reasons.map(|(reason, count)| format!("{reason}={count}"));
+    reasons.collect::<Vec<_>>().join(",")
+}
+
 /// A refusal.
 pub fn refusal(refusal: &Refusal) -> Response<Bytes> {
-    // A query that was refused for its coverage did run on some backend servers.
-    let outcome = match refusal.cause {
-        Cause::Coverage => Outcome::Done,
-        _ => Outcome::NotRun,
-    };
+    let outcome = refusal.outcome;
     let problem = Problem {
         outcome,
         cause: refusal.cause,
@@ -75,11 +95,15 @@
     let body = serde_json::to_vec(&problem).unwrap_or_default();
     let mut response = json(status(refusal.cause), body);
     insert(&mut response, OUTCOME, name(outcome));
-    if let Some(after) = refusal.retry_after {
+    insert_retry_after(&mut response, refusal.retry_after);
+    response
+}
+
+fn insert_retry_after(response: &mut Response<Bytes>, after: Option<Duration>) {
+    if let Some(after) = after {
         let seconds = after.as_secs_f64().ceil().max(1.0);
-        insert(&mut response, RETRY_AFTER.as_str(), &seconds.to_string());
+        insert(response, RETRY_AFTER.as_str(), &seconds.to_string());
     }
-    response
 }
 
 /// An id for a request that may run at most once.
@@ -90,13 +114,15 @@
 
 /// The outcome of a request that may run at most once.
 pub fn settled(settled: Settled) -> Response<Bytes> {
-    let status = match settled.outcome {
-        Outcome::Done => StatusCode::OK,
-        Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
-        Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    let status = match (settled.outcome, settled.cause) {
+        (Outcome::Done, _) => StatusCode::OK,
+        (Outcome::NotRun, Some(cause)) => status(cause),
+        (Outcome::NotRun, None) => StatusCode::SERVICE_UNAVAILABLE,
+        (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
     };
     let mut response = json(status, settled.body);
     insert(&mut response, OUTCOME, name(settled.outcome));
+    insert_retry_after(&mut response, settled.retry_after);
     response
 }
 
@@ -106,6 +132,8 @@
         Cause::UnknownCaller => StatusCode::FORBIDDEN,
         Cause::Malformed | Cause::Allowance => StatusCode::BAD_REQUEST,
         Cause::Overload => StatusCode::TOO_MANY_REQUESTS,
+        Cause::Closed => StatusCode::GONE,
+        Cause::Mismatch => StatusCode::UNPROCESSABLE_ENTITY,
         Cause::Stale | Cause::Leaving | Cause::NoSnapshot | Cause::Coverage => {
             StatusCode::SERVICE_UNAVAILABLE
         }
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -1,7 +1,43 @@
 //! What each series means, for Prometheus' `# HELP` lines.
 
 /// Series and their meanings.
-const HELP: [(&str, &str); 12] = [
+const HELP: [(&str, &str); 38] = [
+    (
+        "lentillift_actions_total",
+        "Requests that may run at most once, by outcome.",
+    ),
+    (
+        "lentillift_admission_refused_total",
+        "Queries refused at admission, before any sub-request was sent.",
+    ),
+    (
+        "lentillift_backend_chilled_total",
+        "Times that a backend server was held to be cold again.",
+    ),
+    (
+        "lentillift_backend_leaving_total",
+        "Times that a backend server said that it is leaving.",
+    ),
+    (
+        "lentillift_backend_limit_fell_total",
+        "Times that a backend server's limit fell because it was slow.",
+    ),
+    (
+        "lentillift_backend_limit_rose_total",
+        "Times that a backend server's limit rose again.",
+    ),
+    (
+        "lentillift_backend_paused_total",
+        "Times that a backend server was given nothing because it failed.",
+    ),
+    (
+        "lentillift_backend_warm_total",
+        "Times that a backend server reached its full share.",
+    ),
+    (
+        "lentillift_backend_well_total",
+        "Times that a backend server was given work again after it failed.",
+    ),
     (
         "lentillift_backends_cold",
         "Backend servers owned here that do not have their full share yet.",
@@ -10,10 +46,63 @@
         "lentillift_backends_owned",
         "Backend servers owned here that have been sent work.",
     ),
+    (
+        "lentillift_coalesced_total",
+        "Queries that shared the run of an identical one.",
+    ),
+    (
+        "lentillift_datagram_bytes_total",
+        "Bytes in datagrams of the membership protocol, by direction.",
+    ),
+    (
+        "lentillift_datagrams_bad_total",
+        "Datagrams that could not be made or made sense of.",
+    ),
+    (
+        "lentillift_datagrams_total",
+        "Datagrams of the membership protocol, by direction.",
+    ),
     (
         "lentillift_dispatches_total",
         "Requests sent to a backend server by its owner.",
     ),
+    (
+        "lentillift_fresh_starts_total",
+        "Queries started anew because a shard had dropped the snapshot.",
+    ),
+    (
+        "lentillift_hedges_busy_total",
+        "Hedges not sent because the other replica was busy or cold.",
+    ),
+    (
+        "lentillift_hedges_spent_total",
+        "Hedges not sent because the budget of extra load was spent.",
+    ),
+    (
+        "lentillift_hedges_total",
+        "Second sub-requests sent for slow shards.",
+    ),
+    ("lentillift_hedges_won_total", "Hedges that replied first."),
+    (
+        "lentillift_owner_misrouted_total",
+        "Sub-requests for a backend server that is not owned here or is out.",
+    ),
+    (
+        "lentillift_owner_refused_cold_total",
+        "Sub-requests refused because the backend server is cold and full.",
+    ),
+    (
+        "lentillift_owner_refused_late_total",
+        "Sub-requests refused because their reply would have come too late.",
+    ),
+    (
+        "lentillift_owner_refused_unwell_total",
+        "Sub-requests refused because the backend server fails.",
+    ),
+    (
+        "lentillift_platform_calls_total",
+        "Calls to the configuration service, by kind.",
+    ),
     ("lentillift_queries_waiting", "Queries whose callers wait."),
     (
         "lentillift_query_seconds",
@@ -31,6 +120,14 @@
         "lentillift_refusals_total",
         "Queries that were refused, by cause.",
     ),
+    (
+        "lentillift_retries_denied_total",
+        "Failed sub-requests not sent again because the budget was spent.",
+    ),
+    (
+        "lentillift_retries_total",
+        "Failed sub-requests sent again to another replica.",
+    ),
     (
         "lentillift_revision",
         "Revision in force, by kind of published value.",
@@ -47,10 +144,14 @@
         "lentillift_shards_total",
         "Shards that answered queries were to cover.",
     ),
+    (
+        "lentillift_sync_dropped_total",
+        "Messages of the membership protocol dropped for want of room.",
+    ),
 ];
 
-/// What a series means; one that is not listed here gets a line that says so.
-pub fn help(name: &str) -> &'static str {
+/// What a series means, if it is known.
+pub fn help(name: &str) -> Option<&'static str> {
     let found = HELP.iter().find(|(known, _)| *known == name);
-    found.map_or("No description yet.", |(_, help)| help)
+    found.map(|(_, help)| *help)
 }
--- a/crates/lentillift-operator/src/metric.rs
+++ b/crates/lentillift-operator/src/metric.rs
@@ -86,8 +86,9 @@
     pub fn text(&self, now: Time) -> String {
         let mut text = String::new();
         for (name, family) in &self.families {
-            let help = catalog::help(name);
-            let _ = writeln!(text, "# HELP {name} {help}");
+            if let Some(help) = catalog::help(name) {
+                let _ = writeln!(text, "# HELP {name} {help}");
+            }
             match family {
                 Family::Counter(series) => plain(&mut text, name, "counter", series),
                 Family::Gauge(series) => plain(&mut text, name, "gauge", series),
@@ -95,8 +96,10 @@
             }
         }
         let name = "lentillift_series_dropped_total";
-        let help = catalog::help(name);
-        let _ = writeln!(text, "# HELP {name} {help}\n# TYPE {name} counter");
+        if let Some(help) = catalog::help(name) {
+            let _ = writeln!(text, "# HELP {name} {help}");
+        }
+        let _ = writeln!(text, "# TYPE {name} counter");
         let _ = writeln!(text, "{name} {}", self.dropped);
         text
     }
--- a/crates/lentillift-settings/src/answers.rs
+++ b/crates/lentillift-settings/src/answers.rs
@@ -3,6 +3,8 @@
 use crate::document::Document;
 use crate::draft;
 use crate::fault::Result;
+use crate::policy;
+use crate::policy::Policy;
 use crate::review;
 use crate::shape::Shape;
 use crate::shape::optional;
@@ -59,6 +61,9 @@
 pub struct Caller {
     /// Parts of the capacity that the caller gets when all want more.
     pub share: u32,
+    /// The priority of its requests, where it isn't that of the service.
+    #[serde(default)]
+    pub priority: Option<id::Class>,
 }
 
 /// A service, or several alike.
@@ -117,6 +122,9 @@
     pub services: BTreeMap<id::Service, Service>,
     /// Bounds of the time that callers may allow.
     pub allowance: Allowance,
+    /// Figures of the decisions under load that differ from the proven ones.
+    #[serde(default)]
+    pub policy: Policy,
 }
 
 /// The shape of answers.
@@ -130,6 +138,7 @@
     required("callers", Shape::Map(&CALLER)),
     required("services", Shape::Map(&SERVICE)),
     required("allowance", ALLOWANCE),
+    optional("policy", policy::SHAPE),
 ]);
 
 const DOMAIN: Shape = Shape::Record(&[required("region", Shape::Name)]);
@@ -144,7 +153,10 @@
     required("answer_within_ms", review::MILLISECONDS),
 ]);
 
-const CALLER: Shape = Shape::Record(&[required("share", review::WEIGHT)]);
+const CALLER: Shape = Shape::Record(&[
+    required("share", review::WEIGHT),
+    optional("priority", Shape::Name),
+]);
 
 const SERVICE: Shape = Shape::Record(&[
     optional("copies", Shape::Whole(1, MOST_COPIES)),
--- a/crates/lentillift-settings/src/config.rs
+++ b/crates/lentillift-settings/src/config.rs
@@ -1,5 +1,7 @@
 //! The published configuration that all processes share.
 
+use crate::policy;
+use crate::policy::Policy;
 use crate::review;
 use crate::shape::Shape;
 use crate::shape::optional;
@@ -88,6 +90,9 @@
     pub least_allowance_ms: u64,
     /// Largest time allowance that a caller may state, in milliseconds.
     pub most_allowance_ms: u64,
+    /// Figures of the decisions under load.
+    #[serde(default)]
+    pub policy: Policy,
 }
 
 impl Config {
@@ -108,6 +113,12 @@
         self.hosts_out.contains(host) || self.domains_out.contains(domain)
     }
 
+    /// The priority class of a caller's requests to a service.
+    pub fn class(&self, service: &Service, caller: &str) -> Option<&Class> {
+        let name = self.policy.classes.get(caller).unwrap_or(&service.class);
+        self.classes.get(name)
+    }
+
     /// All that makes the configuration unfit to be in force.
     pub fn faults(&self) -> Vec<String> {
         let faults = review::config(self).into_iter();
@@ -127,6 +138,7 @@
     required("services", Shape::Map(&SERVICE)),
     required("least_allowance_ms", review::MILLISECONDS),
     required("most_allowance_ms", review::MILLISECONDS),
+    optional("policy", policy::SHAPE),
 ]);
 
 const CLASS: Shape = Shape::Record(&[
--- a/crates/lentillift-settings/src/draft.rs
+++ b/crates/lentillift-settings/src/draft.rs
@@ -8,6 +8,7 @@
 use crate::answers::Priority;
 use crate::answers::Service;
 use crate::fault::Fault;
+use crate::policy::Policy;
 use crate::review;
 use crate::shape::quoted;
 use serde::de::DeserializeOwned;
@@ -114,14 +115,17 @@
     let names = answers["priorities"].as_array();
     let names = names.map(|list| list.iter().filter_map(|value| value["name"].as_str()));
     let names: Option<Vec<&str>> = names.map(Iterator::collect);
-    let services = answers["services"].as_object();
-    for (name, value) in services.into_iter().flatten() {
-        if let (Some(names), Some(priority)) = (&names, value["priority"].as_str())
-            && !names.contains(&priority)
-        {
-            let path = ["services", name, "priority"];
-            faults.push(Fault::new(path, quoted(priority), review::one_of(names)));
+    for group in ["services", "callers"] {
+        for (name, value) in answers[group].as_object().into_iter().flatten() {
+            if let (Some(names), Some(priority)) = (&names, value["priority"].as_str())
+                && !names.contains(&priority)
+            {
+                let path = [group, name, "priority"];
+                faults.push(Fault::new(path, quoted(priority), review::one_of(names)));
+            }
         }
+    }
+    for (name, value) in answers["services"].as_object().into_iter().flatten() {
         if let Some(service) = part::<Service>(value) {
             let limits = review::Limits {
                 slots: service.slots,
@@ -131,4 +135,7 @@
             limits.check(name, faults);
         }
     }
+    if let Some(policy) = part::<Policy>(&answers["policy"]) {
+        faults.extend(policy.faults());
+    }
 }
--- a/crates/lentillift-settings/src/generate.rs
+++ b/crates/lentillift-settings/src/generate.rs
@@ -7,6 +7,7 @@
 use crate::config::Config;
 use crate::config::Kind;
 use crate::fault::Fault;
+use crate::policy::Policy;
 use crate::review;
 use lentillift_core::id;
 use serde::Serialize;
@@ -50,6 +51,7 @@
         services: services(answers, &mut faults),
         least_allowance_ms: answers.allowance.least_ms,
         most_allowance_ms: answers.allowance.most_ms,
+        policy: policy(answers),
     };
     faults.extend(review::config(&config));
     match faults.is_empty() {
@@ -81,6 +83,17 @@
         .collect()
 }
 
+/// Figures under load as answered, with the callers that have a priority of their own.
+fn policy(answers: &Answers) -> Policy {
+    let mut policy = answers.policy.clone();
+    for (name, caller) in &answers.callers {
+        if let Some(priority) = &caller.priority {
+            policy.classes.insert(name.clone(), priority.clone());
+        }
+    }
+    policy
+}
+
 fn classes(answers: &Answers) -> BTreeMap<id::Class, config::Class> {
     let part = queue_part(answers.matters_most);
     let ranked = answers.priorities.iter().zip(0_u8..);
@@ -177,6 +190,22 @@
             reason(service),
         );
     }
+    for (name, caller) in &answers.callers {
+        if let Some(priority) = &caller.priority {
+            decide(
+                format!("caller {name}"),
+                format!("its requests have the priority {priority} at every service"),
+                "the answers give the caller a priority of its own",
+            );
+        }
+    }
+    if answers.policy != Policy::default() {
+        decide(
+            "policy".to_owned(),
+            "figures under load differ from the proven ones".to_owned(),
+            "the answers have a section policy",
+        );
+    }
     for domain in &answers.out_of_service.domains {
         decide(
             format!("failure domain {domain}"),
--- a/crates/lentillift-settings/src/kind.rs
+++ b/crates/lentillift-settings/src/kind.rs
@@ -68,8 +68,10 @@
                 settings.map(drop)
             }
             Self::Placement => {
-                let placement: Placement = document.decode(&placement::SHAPE)?;
-                document.verdict(review::placement(&placement))
+                let mut faults = document.faults(&placement::SHAPE);
+                faults.extend(review::placement(&document.json()));
+                document.verdict(faults)?;
+                document.value::<Placement>().map(drop)
             }
             Self::Hosts => {
                 let roster: Roster = document.decode(&roster::SHAPE)?;
--- a/crates/lentillift-settings/src/lib.rs
+++ b/crates/lentillift-settings/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod jsonc;
 pub mod kind;
 pub mod placement;
+pub mod policy;
 pub mod review;
 pub mod revise;
 pub mod roster;
--- a/crates/lentillift-settings/src/placement.rs
+++ b/crates/lentillift-settings/src/placement.rs
@@ -47,7 +47,9 @@
 impl Placement {
     /// All that makes the placement unfit to be in force.
     pub fn faults(&self) -> Vec<String> {
-        let faults = review::placement(self).into_iter();
+        // The type holds nothing that JSON could not.
+        let value = serde_json::to_value(self).unwrap_or_default();
+        let faults = review::placement(&value).into_iter();
         faults.map(|fault| fault.to_string()).collect()
     }
 }
--- a/crates/lentillift-settings/src/review.rs
+++ b/crates/lentillift-settings/src/review.rs
@@ -2,11 +2,10 @@
 
 use crate::config::Config;
 use crate::fault::Fault;
-use crate::placement::Placement;
 use crate::roster::Roster;
 use crate::shape::Shape;
 use crate::shape::quoted;
-use lentillift_core::snapshot::Part;
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -100,6 +99,17 @@
     }
     services(config, &mut faults);
     allowances(config, &mut faults);
+    for (caller, class) in &config.policy.classes {
+        if !config.classes.contains_key(class) {
+            let path = ["policy", "classes", caller];
+            faults.push(Fault::new(
+                path,
+                quoted(class),
+                one_of(config.classes.keys()),
+            ));
+        }
+    }
+    faults.extend(config.policy.faults());
     faults
 }
 
@@ -175,33 +185,45 @@
 }
 
 /// All that makes a placement unfit to be in force.
-pub fn placement(placement: &Placement) -> Vec<Fault> {
+///
+/// It is looked for in the undecoded value, since the type of a map refuses its first fault.
+pub fn placement(placement: &Value) -> Vec<Fault> {
     let mut faults = Vec::new();
-    revision(placement.revision, &mut faults);
     let mut snapshots = BTreeSet::new();
-    for (at, map) in placement.maps.iter().enumerate() {
+    for (at, map) in array(&placement["maps"]).iter().enumerate() {
         let at = at.to_string();
-        if !snapshots.insert(map.snapshot) {
+        if let Some(snapshot) = map["snapshot"].as_u64()
+            && !snapshots.insert(snapshot)
+        {
             let path = ["maps", &at, "snapshot"];
-            let found = format!("{} a second time", map.snapshot);
+            let found = format!("{snapshot} a second time");
             faults.push(Fault::new(path, found, "each snapshot once"));
         }
-        parts(placement, &at, &map.parts, &mut faults);
+        let parts = array(&map["parts"]);
+        if parts.is_empty() {
+            let path = ["maps", &at, "parts"];
+            faults.push(Fault::new(path, "none", "at least one"));
+        }
+        check_parts(&placement["servers"], &at, parts, &mut faults);
     }
     faults
 }
 
-fn parts(placement: &Placement, map: &str, parts: &[Part], faults: &mut Vec<Fault>) {
+fn check_parts(servers: &Value, map: &str, parts: &[Value], faults: &mut Vec<Fault>) {
     let mut shards = BTreeSet::new();
     for (at, part) in parts.iter().enumerate() {
         let at = at.to_string();
-        if !shards.insert(part.shard) {
+        if let Some(shard) = part["shard"].as_u64()
+            && !shards.insert(shard)
+        {
             let path = ["maps", map, "parts", &at, "shard"];
-            let found = format!("{} a second time", part.shard);
+            let found = format!("{shard} a second time");
             faults.push(Fault::new(path, found, "each shard once in a map"));
         }
-        for (number, name) in part.replicas.iter().enumerate() {
-            if !placement.servers.contains_key(name) {
+        for (number, name) in array(&part["replicas"]).iter().enumerate() {
+            if let Some(name) = name.as_str()
+                && servers.get(name).is_none()
+            {
                 let number = number.to_string();
                 let path = ["maps", map, "parts", &at, "replicas", &number];
                 faults.push(Fault::new(path, quoted(name), "the name of one of servers"));
@@ -210,6 +232,10 @@
     }
 }
 
+fn array(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
+
 /// All that makes a list of hosts unfit to be in force.
 pub fn roster(roster: &Roster) -> Vec<Fault> {
     let mut faults = Vec::new();
--- a/crates/lentillift-settings/src/shape.rs
+++ b/crates/lentillift-settings/src/shape.rs
@@ -6,6 +6,7 @@
 use crate::fault::Fault;
 use jsonc_parser::ast::Object;
 use jsonc_parser::ast::Value;
+use serde_json::Value as Json;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -35,6 +36,8 @@
     Map(&'static Shape),
     /// Named fields.
     Record(&'static [Field]),
+    /// Any part of what an example has, with values of the same kinds.
+    Like(fn() -> Json),
 }
 
 /// A field of a record.
@@ -77,6 +80,7 @@
             }
             (Self::Map(shape), Value::Object(object)) => map(shape, path, object, faults),
             (Self::Record(fields), Value::Object(object)) => record(fields, path, object, faults),
+            (Self::Like(example), _) => like(&example(), path, value, faults),
             (Self::Whole(least, most), Value::NumberLit(number))
                 if is_within(number.value, *least, *most) => {}
             (_, Value::StringLit(text)) if self.takes(&text.value) => {}
@@ -106,7 +110,7 @@
             Self::Whole(least, most) => format!("a whole number from {least} to {most}"),
             Self::Choice(words) => format!("one of \"{}\"", words.join("\", \"")),
             Self::List(_) => "a list in [ ]".to_owned(),
-            Self::Map(_) | Self::Record(_) => "named fields in { }".to_owned(),
+            Self::Map(_) | Self::Record(_) | Self::Like(_) => "named fields in { }".to_owned(),
         }
     }
 }
@@ -156,8 +160,7 @@
             Some(field) => field.shape.check(path, &property.value, faults),
             None => {
                 let names: Vec<&str> = fields.iter().map(|field| field.name).collect();
-                let right = format!("one of the fields {}", names.join(", "));
-                faults.push(Fault::new(path.clone(), "an unknown field", right));
+                faults.push(unknown(path, &names));
             }
         }
         path.pop();
@@ -171,6 +174,39 @@
     }
 }
 
+/// Compares with an example; where the example holds no value, anything goes.
+fn like(example: &Json, path: &mut Vec<String>, value: &Value<'_>, faults: &mut Vec<Fault>) {
+    let shape = match (example, value) {
+        (Json::Object(fields), Value::Object(object)) if !fields.is_empty() => {
+            for property in &object.properties {
+                let name = property.name.as_str();
+                path.push(name.to_owned());
+                match fields.get(name) {
+                    Some(field) => like(field, path, &property.value, faults),
+                    None => {
+                        let names: Vec<&str> = fields.keys().map(String::as_str).collect();
+                        faults.push(unknown(path, &names));
+                    }
+                }
+                path.pop();
+            }
+            return;
+        }
+        (Json::Object(_), _) => Shape::Map(&Shape::Any),
+        (Json::Array(_), _) => Shape::List(&Shape::Any),
+        (Json::Bool(_), _) => Shape::Flag,
+        (Json::Number(_), _) => Shape::Whole(0, u32::MAX as u64),
+        (Json::String(_), _) => Shape::Text,
+        (Json::Null, _) => Shape::Any,
+    };
+    shape.check(path, value, faults);
+}
+
+fn unknown(path: &[String], names: &[&str]) -> Fault {
+    let right = format!("one of the fields {}", names.join(", "));
+    Fault::new(path.to_vec(), "an unknown field", right)
+}
+
 fn twice(path: &[String]) -> Fault {
     Fault::new(path.to_vec(), "the field twice", "each field once")
 }
--- a/crates/lentillift-settings/tests/answers.rs
+++ b/crates/lentillift-settings/tests/answers.rs
@@ -4,71 +4,121 @@
 use lentillift_settings::answers::QUESTIONNAIRE;
 use lentillift_settings::generate;
 
-/// Replaces parts of the questionnaire's own answers and returns all faults as they are shown.
-fn faults(changes: &[(&str, &str)]) -> Vec<String> {
+/// The questionnaire's own answers with parts of them replaced.
+fn replaced(changes: &[(&str, &str)]) -> String {
     let mut text = QUESTIONNAIRE.to_owned();
     for (old, new) in changes {
         assert!(text.contains(old), "the questionnaire lacks {old}");
         text = text.replacen(old, new, 1);
     }
-    match Answers::parse("a", &text) {
+    text
+}
+
+/// All faults of a text, as they are shown.
+fn faults(text: &str) -> Vec<String> {
+    match Answers::parse("a", text) {
         Ok(_) => Vec::new(),
         Err(report) => report.to_string().lines().map(str::to_owned).collect(),
     }
 }
 
+/// The number of the line where `part` stands first.
+fn line(text: &str, part: &str) -> usize {
+    let before = text.find(part).map(|at| &text[..at]);
+    before
+        .expect("the part stands in the text")
+        .matches('\n')
+        .count()
+        + 1
+}
+
+/// Each row names the text replaced, what replaces it, and the fault told for that line. What is
+/// missing is told for the line of the record that lacks it.
 macro_rules! wrong {
-    ($($name:ident: [$($old:literal => $new:literal),+] gives [$($fault:literal),+];)+) => {$(
+    ($($name:ident: [$($old:literal => $new:literal gives $fault:literal),+];)+) => {$(
         #[test]
         fn $name() {
-            assert_eq!(faults(&[$(($old, $new)),+]), [$($fault),+]);
+            let text = replaced(&[$(($old, $new)),+]);
+            let expected = [$({
+                let part = if $new.is_empty() { "\n{" } else { $new };
+                let line = line(&text, part) + usize::from($new.is_empty());
+                format!("a:{line}: {}", $fault)
+            }),+];
+            assert_eq!(faults(&text), expected);
         }
     )+};
 }
 
 wrong! {
-    revision_zero: ["\"revision\": 1" => "\"revision\": 0"] gives
-        ["a:12: revision: found 0, right is a whole number from 1 to 1000000000"];
-    unknown_field: ["\"copies\": 1" => "\"copys\": 1"] gives
-        ["a:53: services.search.copys: found an unknown field, right is one of the fields copies, may_be_repeated, priority, backend_servers, slots, cold_slots, connections, connect_ms"];
-    missing_field: ["\"organisation\": \"Example Trust\"," => ""] gives
-        ["a:9: organisation: found nothing, right is a text in quotes"];
-    wrong_type: ["\"share\": 4" => "\"share\": \"four\""] gives
-        ["a:45: callers.website.share: found \"four\", right is a whole number from 1 to 1000"];
-    wrong_word: ["\"coverage\"," => "\"speed\","] gives
-        ["a:19: matters_most: found \"speed\", right is one of \"coverage\", \"latency\""];
-    unknown_priority: ["\"priority\": \"urgent\"" => "\"priority\": \"urgnt\""] gives
-        ["a:58: services.search.priority: found \"urgnt\", right is one of \"urgent\", \"ordinary\""];
-    unknown_domain: ["\"domains\": []" => "\"domains\": [\"d9\"]"] gives
-        ["a:32: out_of_service.domains: found \"d9\", right is one of \"d1\", \"d2\", \"d3\""];
-    all_domains_out: ["\"domains\": []" => "\"domains\": [\"d1\", \"d2\", \"d3\"]"] gives
-        ["a:32: out_of_service.domains: found all failure domains, right is at least one in service"];
-    zero_slots: ["\"slots\": 2" => "\"slots\": 0"] gives
-        ["a:62: services.search.slots: found 0, right is a whole number from 1 to 10000"];
-    cold_above_warm: ["\"cold_slots\": 1" => "\"cold_slots\": 3"] gives
-        ["a:64: services.search.cold_slots: found 3, right is at most its slots, which are 2"];
-    few_connections: ["\"connections\": 25" => "\"connections\": 1"] gives
-        ["a:66: services.search.connections: found 1, right is at least its slots, which are 2"];
-    allowances_crossed: ["\"least_ms\": 10," => "\"least_ms\": 20000,"] gives
-        ["a:83: allowance.least_ms: found 20000, right is at most most_ms, which is 10000"];
-    later_than_allowed: ["\"answer_within_ms\": 130" => "\"answer_within_ms\": 20000"] gives
-        ["a:39: priorities.0.answer_within_ms: found 20000, right is at most allowance.most_ms, which is 10000"];
-    field_twice: ["\"revision\": 1," => "\"revision\": 1, \"revision\": 2,"] gives
-        ["a:12: revision: found the field twice, right is each field once"];
-    name_with_capitals: ["\"office\":" => "\"Office 1\":"] gives
-        ["a:46: callers.Office 1: found \"Office 1\", right is a name of 1 to 64 lower-case letters, digits and - . _ that starts with a letter or digit"];
-    not_json: ["\"revision\": 1," => "\"revision\" 1,"] gives
-        ["a:12: found Expected colon after the string or word in object property, right is JSON with comments"];
+    revision_zero: [
+        "\"revision\": 1" => "\"revision\": 0" gives "revision: found 0, right is a whole number from 1 to 1000000000"
+    ];
+    unknown_field: [
+        "\"copies\": 1" => "\"copys\": 1" gives "services.search.copys: found an unknown field, right is one of the fields copies, may_be_repeated, priority, backend_servers, slots, cold_slots, connections, connect_ms"
+    ];
+    missing_field: [
+        "\"organisation\": \"Example Trust\"," => "" gives "organisation: found nothing, right is a text in quotes"
+    ];
+    wrong_type: [
+        "\"share\": 4" => "\"share\": \"four\"" gives "callers.website.share: found \"four\", right is a whole number from 1 to 1000"
+    ];
+    wrong_word: [
+        "\"coverage\"," => "\"speed\"," gives "matters_most: found \"speed\", right is one of \"coverage\", \"latency\""
+    ];
+    unknown_priority: [
+        "\"priority\": \"urgent\"" => "\"priority\": \"urgnt\"" gives "services.search.priority: found \"urgnt\", right is one of \"urgent\", \"ordinary\""
+    ];
+    unknown_domain: [
+        "\"domains\": []" => "\"domains\": [\"d9\"]" gives "out_of_service.domains: found \"d9\", right is one of \"d1\", \"d2\", \"d3\""
+    ];
+    all_domains_out: [
+        "\"domains\": []" => "\"domains\": [\"d1\", \"d2\", \"d3\"]" gives "out_of_service.domains: found all failure domains, right is at least one in service"
+    ];
+    zero_slots: [
+        "\"slots\": 2" => "\"slots\": 0" gives "services.search.slots: found 0, right is a whole number from 1 to 10000"
+    ];
+    cold_above_warm: [
+        "\"cold_slots\": 1" => "\"cold_slots\": 3" gives "services.search.cold_slots: found 3, right is at most its slots, which are 2"
+    ];
+    few_connections: [
+        "\"connections\": 25" => "\"connections\": 1" gives "services.search.connections: found 1, right is at least its slots, which are 2"
+    ];
+    allowances_crossed: [
+        "\"least_ms\": 10," => "\"least_ms\": 20000," gives "allowance.least_ms: found 20000, right is at most most_ms, which is 10000"
+    ];
+    later_than_allowed: [
+        "\"answer_within_ms\": 130" => "\"answer_within_ms\": 20000" gives "priorities.0.answer_within_ms: found 20000, right is at most allowance.most_ms, which is 10000"
+    ];
+    field_twice: [
+        "\"revision\": 1," => "\"revision\": 1, \"revision\": 2," gives "revision: found the field twice, right is each field once"
+    ];
+    name_with_capitals: [
+        "\"office\":" => "\"Office 1\":" gives "callers.Office 1: found \"Office 1\", right is a name of 1 to 64 lower-case letters, digits and - . _ that starts with a letter or digit"
+    ];
+    not_json: [
+        "\"revision\": 1," => "\"revision\" 1," gives "found Expected colon after the string or word in object property, right is JSON with comments"
+    ];
     all_at_once: [
-        "\"revision\": 1" => "\"revision\": -1",
-        "\"priority\": \"urgent\"" => "\"priority\": \"urgnt\"",
-        "\"cold_slots\": 1" => "\"cold_slots\": 3",
-        "\"least_ms\": 10," => "\"least_ms\": 20000,"
-    ] gives [
-        "a:12: revision: found -1, right is a whole number from 1 to 1000000000",
-        "a:58: services.search.priority: found \"urgnt\", right is one of \"urgent\", \"ordinary\"",
-        "a:64: services.search.cold_slots: found 3, right is at most its slots, which are 2",
-        "a:83: allowance.least_ms: found 20000, right is at most most_ms, which is 10000"
+        "\"revision\": 1" => "\"revision\": -1" gives "revision: found -1, right is a whole number from 1 to 1000000000",
+        "\"priority\": \"urgent\"" => "\"priority\": \"urgnt\"" gives "services.search.priority: found \"urgnt\", right is one of \"urgent\", \"ordinary\"",
+        "\"cold_slots\": 1" => "\"cold_slots\": 3" gives "services.search.cold_slots: found 3, right is at most its slots, which are 2",
+        "\"least_ms\": 10," => "\"least_ms\": 20000," gives "allowance.least_ms: found 20000, right is at most most_ms, which is 10000"
+    ];
+    unknown_priority_of_a_caller: [
+        "\"office\": { \"share\": 1 }" => "\"office\": { \"share\": 1, \"priority\": \"x\" }"
+            gives "callers.office.priority: found \"x\", right is one of \"urgent\", \"ordinary\""
+    ];
+    unknown_figure: [
+        "\"organisation\"" => "\"policy\": { \"hedge\": { \"off\": true } }, \"organisation\""
+            gives "policy.hedge.off: found an unknown field, right is one of the fields budget_percent, least_ms, on, quantile_percent"
+    ];
+    figure_of_a_wrong_kind: [
+        "\"organisation\"" => "\"policy\": { \"hedge\": { \"on\": 1 } }, \"organisation\""
+            gives "policy.hedge.on: found 1, right is true or false"
+    ];
+    figure_out_of_bounds: [
+        "\"organisation\"" => "\"policy\": { \"hedge\": { \"budget_percent\": 200 } }, \"organisation\""
+            gives "policy.hedge.budget_percent: found 200, right is a whole number from 0 to 100"
     ];
 }
 
--- a/crates/lentilliftd/src/owner.rs
+++ b/crates/lentilliftd/src/owner.rs
@@ -1,5 +1,6 @@
 //! The task that owns backend servers.
 
+use crate::entry::until;
 use crate::peers::Peers;
 use crate::report;
 use lentillift_backend::client;
@@ -93,9 +94,11 @@
     ) {
         let mut reports = report::times();
         loop {
+            let wake = self.owner.next_wake();
             let event = tokio::select! {
                 _ = reports.tick() => {
-                    report::owner(&self.board, &self.view, &self.host, &self.owner);
+                    let now = self.clock.now();
+                    report::owner(&self.board, now, &self.view, &self.host, &self.owner);
                     continue;
                 }
                 received = mail.recv() => match received {
@@ -109,11 +112,15 @@
                     }
                     Err(_) => return,
                 },
+                () = until(self.clock, wake) => Event::Tick,
             };
             let effects = self.owner.handle(self.clock.now(), event);
             for effect in effects {
                 self.carry_out(effect).await;
             }
+            for (name, count) in self.owner.counts().take() {
+                self.board.add(name, &[], count);
+            }
         }
     }
 
@@ -130,10 +137,19 @@
                 desk,
                 id,
                 result,
+                load,
             } => {
-                let message = Message::Result { desk, id, result };
+                let message = Message::Result {
+                    desk,
+                    id,
+                    result,
+                    load,
+                };
                 self.peers.send(&to, message).await;
             }
+            Effect::Note { backend, change } => {
+                self.board.event("backend", &backend, change.to_string());
+            }
         }
     }
 
@@ -171,7 +187,7 @@
             connections: service.connections as usize,
             ..client::Options::default()
         };
-        let client = Client::new(address, &options);
+        let client = Client::new(address, &self.peers.sender(), &options);
         self.clients
             .insert(backend.clone(), (address, client.clone()));
         Some(client)
--- a/crates/lentilliftd/src/report.rs
+++ b/crates/lentilliftd/src/report.rs
@@ -5,6 +5,7 @@
 use lentillift_core::refusal::Refusal;
 use lentillift_core::time::Time;
 use lentillift_entry::answer::Answer;
+use lentillift_entry::answer::Ask;
 use lentillift_fleet::view::View;
 use lentillift_operator::board::Board;
 use lentillift_operator::status;
@@ -30,44 +31,58 @@
 /// A name that a caller made up must not become a series: each would stay in memory for good.
 const UNKNOWN: &str = "unknown";
 
+/// What a query is counted under.
+#[derive(Debug, Clone)]
+pub(crate) struct Series {
+    service: id::Service,
+    class: id::Class,
+}
+
+impl Series {
+    /// The series of a query.
+    pub(crate) fn of(view: &View, ask: &Ask) -> Self {
+        let config = view.values.config.as_ref();
+        let known = config.and_then(|config| {
+            let service = config.services.get(&ask.service)?;
+            let own = config.policy.classes.get(&ask.caller);
+            Some(own.unwrap_or(&service.class).clone())
+        });
+        match known {
+            Some(class) => Self {
+                service: ask.service.clone(),
+                class,
+            },
+            None => Self {
+                service: UNKNOWN.into(),
+                class: UNKNOWN.into(),
+            },
+        }
+    }
+}
+
 /// Tells of an answer.
-pub(crate) fn answer(
-    board: &Board,
-    view: &View,
-    service: &id::Service,
-    latency: Time,
-    answer: &Answer,
-) {
-    let (service, class) = labels(view, service);
-    let labels = [("service", &*service), ("class", &*class)];
+pub(crate) fn answer(board: &Board, series: &Series, latency: Time, answer: &Answer) {
+    let Series { service, class } = series;
+    let labels = [("service", &**service), ("class", &**class)];
     let coverage = &answer.coverage;
     board.observe("lentillift_query_seconds", &labels, latency);
     let shards = u64::from(coverage.shards);
     board.add("lentillift_shards_total", &labels, shards);
     let answered = u64::from(coverage.answered);
     board.add("lentillift_shards_answered_total", &labels, answered);
-    board.answered(&service, latency, coverage.share());
+    board.answered(service, latency, coverage.share());
 }
 
 /// Tells of a refusal.
-pub(crate) fn refusal(board: &Board, view: &View, service: &id::Service, refusal: &Refusal) {
-    let (service, class) = labels(view, service);
+pub(crate) fn refusal(board: &Board, series: &Series, refusal: &Refusal) {
+    let Series { service, class } = series;
     let labels = [
-        ("service", &*service),
-        ("class", &*class),
+        ("service", &**service),
+        ("class", &**class),
         ("cause", name(refusal.cause)),
     ];
     board.add("lentillift_refusals_total", &labels, 1);
-    board.refused(&service);
-}
-
-fn labels(view: &View, service: &id::Service) -> (id::Service, id::Class) {
-    let config = view.values.config.as_ref();
-    let known = config.and_then(|config| config.services.get(service));
-    known.map_or_else(
-        || (UNKNOWN.into(), UNKNOWN.into()),
-        |known| (service.clone(), known.class.clone()),
-    )
+    board.refused(service);
 }
 
 fn name(cause: Cause) -> &'static str {
@@ -81,12 +96,18 @@
         Cause::Leaving => "leaving",
         Cause::NoSnapshot => "no-snapshot",
         Cause::Coverage => "coverage",
+        Cause::Closed => "closed",
+        Cause::Mismatch => "mismatch",
     }
 }
 
 /// Tells of the backend servers that the host owns.
-pub(crate) fn owner(board: &Board, view: &View, host: &id::Host, owner: &Owner) {
+pub(crate) fn owner(board: &Board, now: Time, view: &View, host: &id::Host, owner: &Owner) {
     let mut section = status::Owner::new();
+    let Some(config) = &view.values.config else {
+        return;
+    };
+    let policy = &config.policy;
     for (name, server) in owner.servers() {
         let Some(backend) = view.backends.get(name) else {
             continue;
@@ -97,9 +118,9 @@
         let server = status::Server {
             service: backend.service.clone(),
             domain: backend.server.domain.clone(),
-            in_flight: server.in_flight,
+            in_flight: server.in_flight(),
             queue: server.queue.len(),
-            limit: server.warmup.limit(),
+            limit: server.limit(policy, now),
             warm: server.warmup.is_warm(),
         };
         section.insert(name.clone(), server);
