--- a/crates/lentillift-node/src/message.rs
+++ b/crates/lentillift-node/src/message.rs
@@ -5,6 +5,7 @@
 use lentillift_core::sub::Desk;
 use lentillift_core::sub::Load;
 use lentillift_core::sub::Sub;
+use lentillift_fleet::sync;
 use lentillift_once::record::Parcel;
 use lentillift_once::submit::Settled;
 use lentillift_once::submit::Submit;
@@ -53,4 +54,6 @@
         /// The parcel's number.
         number: u64,
     },
+    /// About hosts and values.
+    Sync(sync::Message),
 }
--- a/crates/lentillift-node/src/once.rs
+++ b/crates/lentillift-node/src/once.rs
@@ -1,7 +1,7 @@
 //! Wire forms of what is said about requests that may run at most once.
 
+use crate::mirror::mirror;
 use crate::wire::Outcome;
-use crate::wire::mirror;
 use bincode::Decode;
 use bincode::Encode;
 use lentillift_core::refusal;
--- a/crates/lentilliftd/src/lib.rs
+++ b/crates/lentilliftd/src/lib.rs
@@ -6,8 +6,8 @@
 
 pub mod daemon;
 pub mod entry;
+pub mod fleet;
 pub mod once;
 pub mod owner;
 pub mod peers;
 mod report;
-pub mod view;
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::entry;
+use crate::fleet;
 use crate::once;
 use crate::owner;
 
@@ -83,6 +84,8 @@
     pub once: mpsc::Sender<once::Mail>,
     /// The task that owns backend servers.
     pub owner: mpsc::Sender<owner::Mail>,
+    /// The task that takes part in the fleet.
+    pub fleet: mpsc::Sender<fleet::Mail>,
 }
 
 /// Passes on what comes from other processes until all senders are gone.
@@ -140,6 +143,9 @@
             }
             Message::Handover(parcel) => self.once(once::Event::Handover { from, parcel }).await,
             Message::Taken { number } => self.once(once::Event::Taken { number }).await,
+            Message::Sync(message) => {
+                let _ = self.fleet.send(fleet::Mail::Message(from, message)).await;
+            }
         }
     }
 
@@ -164,6 +170,8 @@
             | Message::Settled { .. }
             | Message::NotHome { .. }
             | Message::Taken { .. } => {}
+            // Whoever needs it asks again.
+            Message::Sync(_) => {}
         }
     }
 
