--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::peers;
 use crate::peers::Desks;
 use crate::peers::Peers;
+use crate::report;
 use crate::trace;
 use lentillift_caller::call::Call;
 use lentillift_core::error::Error;
@@ -162,6 +163,9 @@
         let owner = owner::Task::new(host, clock, peers.clone(), board.clone(), owner_mail);
         tokio::spawn(owner.run(for_owner, seen));
 
+        let domain = settings.domain.clone();
+        tokio::spawn(report::views(board.clone(), domain, view.subscribe()));
+
         let platform = Client::new(settings.platform_address);
         let options = fleet_core::Options {
             wall: SystemTime::now()
