--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -107,6 +107,8 @@
     fleet: mpsc::Sender<fleet::Mail>,
     /// What the process tells its operators.
     pub board: Board,
+    /// What the process holds to be true of the fleet.
+    pub view: watch::Receiver<Arc<View>>,
 }
 
 impl Daemon {
@@ -151,7 +153,7 @@
 
         let host = settings.host.clone();
         let owner = owner::Task::new(host, clock, peers.clone(), board.clone(), owner_mail);
-        tokio::spawn(owner.run(for_owner, seen));
+        tokio::spawn(owner.run(for_owner, seen.clone()));
 
         let platform = Client::new(settings.platform_address);
         let options = fleet_core::Options {
@@ -189,6 +191,7 @@
             callers: tokio::spawn(callers),
             fleet: fleet_mail,
             board,
+            view: seen,
         }
     }
 
