--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -22,11 +22,12 @@
 use lentillift_http::listener;
 use lentillift_node::hub;
 use lentillift_node::link::Peer;
+use lentillift_once::core::Once;
 use lentillift_once::home;
-use lentillift_once::home::Home;
 use lentillift_operator::server::Board;
 use lentillift_platform::client::Client;
 use lentillift_settings::daemon::Settings;
+use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::net::SocketAddr;
@@ -140,15 +141,20 @@
         };
         tokio::spawn(peers::sort(inbound, desks));
 
-        let entry = entry::Task::new(rng(incarnation), clock, peers.clone(), board.clone());
+        let entry = entry::Task::new(
+            settings.domain.clone(),
+            rng(incarnation),
+            clock,
+            peers.clone(),
+            board.clone(),
+        );
         tokio::spawn(entry.run(for_entry, seen.clone()));
 
-        let home = Home::new(
-            settings.host.clone(),
-            incarnation,
-            &home::Options::default(),
-        );
-        let once = once::Task::new(home, rng(incarnation + 1), clock, peers.clone());
+        // Not seeded by the incarnation, which stands in each id: the ids' secrets would be known.
+        let secrets = StdRng::from_os_rng();
+        let options = home::Options::default();
+        let once = Once::new(settings.host.clone(), incarnation, &options, secrets);
+        let once = once::Task::new(once, clock, peers.clone(), board.clone());
         tokio::spawn(once.run(for_once, seen.clone()));
 
         let host = settings.host.clone();
@@ -185,7 +191,9 @@
 
         let (calls, for_desks) = mpsc::channel(QUEUE);
         tokio::spawn(pass_calls(for_desks, entry_mail, once_mail));
-        let callers = lentillift_caller::server::serve(sockets.caller, options, stopped, calls);
+        let first = rng(incarnation).random::<id::Request>() >> 1;
+        let callers =
+            lentillift_caller::server::serve(sockets.caller, options, stopped, calls, first);
         Self {
             stop,
             callers: tokio::spawn(callers),
