Give up links to processes that are over

A host that loses power closes no connection. Its link stayed in the hub's list, so messages for it, and for its replacement at another address, went into the old connection until TCP gave up. The fleet task now tells the hub when a process is held for dead, has ended, or was followed by another incarnation; the hub ends that link and reports it as down. Contract tests of datagrams, messages and the hub.

--- a/crates/lentillift-fleet/src/boot.rs
+++ b/crates/lentillift-fleet/src/boot.rs
@@ -134,13 +134,18 @@
                 };
                 self.picture.touch_hosts();
                 let hosts = self.table.len();
+                let incarnation = worse.incarnation;
                 self.queue.push(News::Member(worse), hosts);
                 let detail = match health {
                     Health::Alive => "answers",
                     Health::Suspect => "does not answer, suspected",
                     Health::Dead => "does not answer, held for dead",
                 };
-                vec![note("host", &host, detail.to_owned())]
+                let mut effects = vec![note("host", &host, detail.to_owned())];
+                if health == Health::Dead {
+                    effects.push(Effect::Lost(host, incarnation));
+                }
+                effects
             }
         }
     }
--- a/crates/lentillift-fleet/src/core.rs
+++ b/crates/lentillift-fleet/src/core.rs
@@ -86,6 +86,8 @@
     Packet(SocketAddr, Packet),
     /// Send a message over the link to a peer.
     Message(id::Host, sync::Message),
+    /// Give up the link to a process that is over.
+    Lost(id::Host, id::Incarnation),
     /// Call the configuration service.
     Call(read::Call),
     /// Tell the balancer whether to send callers here.
@@ -328,8 +330,7 @@
             self.refute(news);
             return Vec::new();
         }
-        let old = self.table.get(&news.host);
-        let old = old.map(|m| (m.version, m.stage, m.health));
+        let old = self.table.get(&news.host).cloned();
         if !self.table.merge(now, news) {
             return Vec::new();
         }
@@ -339,14 +340,20 @@
             let hosts = self.table.len();
             self.queue.push(News::Member(news.clone()), hosts);
         }
-        let same = old.is_some_and(|(version, stage, health)| {
-            (stage, health) == (news.stage, news.health) && version > 0
-        });
-        if same {
-            return Vec::new();
+        let mut effects = Vec::new();
+        let mut same = false;
+        if let Some(old) = old.filter(|old| old.incarnation > 0) {
+            same = (old.stage, old.health) == (news.stage, news.health);
+            let over = news.is_over() && !old.is_over();
+            if over || old.incarnation != news.incarnation {
+                effects.push(Effect::Lost(old.host, old.incarnation));
+            }
         }
-        let detail = format!("{:?}, {:?}", news.stage, news.health).to_lowercase();
-        vec![note("host", &news.host, detail)]
+        if !same {
+            let detail = format!("{:?}, {:?}", news.stage, news.health).to_lowercase();
+            effects.push(note("host", &news.host, detail));
+        }
+        effects
     }
 
     fn refute(&mut self, news: &Member) {
--- a/crates/lentillift-fleet/tests/common/mod.rs
+++ b/crates/lentillift-fleet/tests/common/mod.rs
@@ -348,7 +348,7 @@
 
     fn carry_out(&mut self, host: &id::Host, effect: Effect) {
         match effect {
-            Effect::View(_) => {}
+            Effect::View(_) | Effect::Lost(..) => {}
             Effect::Packet(to, packet) => self.send(host, to, packet),
             Effect::Message(to, message) => {
                 let size = frame::encode(vec![Message::Sync(message.clone())]);
--- a/crates/lentillift-node/src/hub.rs
+++ b/crates/lentillift-node/src/hub.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 use tracing::info;
 
 /// Messages that wait for one peer at most; what comes beyond is undelivered.
@@ -51,7 +52,9 @@
         message: Message,
     },
     Accepted(Link),
+    Opened(Peer, u64),
     Ended(id::Host, u64),
+    Lost(Peer),
 }
 
 /// A way to send messages to other processes.
@@ -71,6 +74,15 @@
         // The hub ends only with the process.
         let _ = self.commands.send(command).await;
     }
+
+    /// Gives up the link to a process that is held to be over.
+    ///
+    /// A host that loses power closes no connection. Messages for it, and for the process that takes
+    /// its name at another address, would go into the old connection until TCP gives up after many
+    /// minutes. What was sent on it is reported by [`Inbound::Down`].
+    pub async fn lose(&self, peer: Peer) {
+        let _ = self.commands.send(Command::Lost(peer)).await;
+    }
 }
 
 /// A link that is open or being opened.
@@ -79,6 +91,10 @@
     /// Tells this link from a later one to the same host.
     number: u64,
     queue: mpsc::Sender<Message>,
+    /// Incarnation of the process at the other end, once names have been exchanged.
+    incarnation: Option<id::Incarnation>,
+    /// The task that carries the messages.
+    task: Option<AbortHandle>,
 }
 
 /// The task that owns the list of links.
@@ -132,7 +148,9 @@
                     message,
                 } => self.send(to, address, message).await,
                 Command::Accepted(link) => self.accepted(link),
+                Command::Opened(peer, number) => self.opened(peer, number),
                 Command::Ended(host, number) => self.ended(host, number).await,
+                Command::Lost(peer) => self.lost(peer).await,
             }
         }
     }
@@ -141,7 +159,7 @@
         if !self.links.contains_key(&to) {
             let messages = self.register(&to);
             let number = self.next;
-            tokio::spawn(outgoing(
+            let task = tokio::spawn(outgoing(
                 self.me.clone(),
                 to.clone(),
                 address,
@@ -150,6 +168,7 @@
                 self.inbound.clone(),
                 self.commands.clone(),
             ));
+            self.carry(&to, task.abort_handle());
         }
         let Some(slot) = self.links.get(&to) else {
             return;
@@ -170,13 +189,16 @@
         let slot = Slot {
             number: self.next,
             queue,
+            incarnation: None,
+            task: None,
         };
         self.links.insert(host.clone(), slot);
         messages
     }
 
     fn accepted(&mut self, link: Link) {
-        let host = link.peer.host.clone();
+        let peer = link.peer.clone();
+        let host = peer.host.clone();
         let known = self.links.contains_key(&host);
         // With a link of our own at hand, this one only receives: its queue stays without a sender.
         let messages = if known {
@@ -185,13 +207,42 @@
             Some(self.register(&host))
         };
         let number = self.next;
-        tokio::spawn(incoming(
+        let task = tokio::spawn(incoming(
             link,
             number,
             messages,
             self.inbound.clone(),
             self.commands.clone(),
         ));
+        if !known {
+            self.carry(&host, task.abort_handle());
+            self.opened(peer, number);
+        }
+    }
+
+    fn carry(&mut self, host: &id::Host, task: AbortHandle) {
+        if let Some(slot) = self.links.get_mut(host) {
+            slot.task = Some(task);
+        }
+    }
+
+    fn opened(&mut self, peer: Peer, number: u64) {
+        if let Some(slot) = self.links.get_mut(&peer.host)
+            && slot.number == number
+        {
+            slot.incarnation = Some(peer.incarnation);
+        }
+    }
+
+    async fn lost(&mut self, peer: Peer) {
+        let slot = self.links.get(&peer.host);
+        if slot.is_none_or(|slot| slot.incarnation != Some(peer.incarnation)) {
+            return;
+        }
+        if let Some(task) = self.links.remove(&peer.host).and_then(|slot| slot.task) {
+            task.abort();
+        }
+        let _ = self.inbound.send(Inbound::Down { host: peer.host }).await;
     }
 
     async fn ended(&mut self, host: id::Host, number: u64) {
@@ -217,7 +268,11 @@
     commands: mpsc::Sender<Command>,
 ) {
     let ended = match link::dial(&me, address).await {
-        Ok(link) if link.peer.host == host => link.run(&mut messages, &inbound).await,
+        Ok(link) if link.peer.host == host => {
+            let opened = Command::Opened(link.peer.clone(), number);
+            let _ = commands.send(opened).await;
+            link.run(&mut messages, &inbound).await
+        }
         Ok(link) => Err(lentillift_core::error::Error::new(
             lentillift_core::error::Step::Connect,
             address,
--- /dev/null
+++ b/crates/lentillift-node/tests/gossip.rs
@@ -0,0 +1,156 @@
+//! Datagrams and messages about hosts and values, there and back.
+
+use bytes::BytesMut;
+use lentillift_fleet::member::Member;
+use lentillift_fleet::packet::Body;
+use lentillift_fleet::packet::Digest;
+use lentillift_fleet::packet::News;
+use lentillift_fleet::packet::Packet;
+use lentillift_fleet::sync;
+use lentillift_fleet::value::Mark;
+use lentillift_fleet::view::Health;
+use lentillift_fleet::view::Stage;
+use lentillift_node::datagram;
+use lentillift_node::frame;
+use lentillift_node::message::Message;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use std::net::SocketAddr;
+
+fn member() -> impl Strategy<Value = Member> {
+    let stage = prop::sample::select(vec![
+        Stage::Starting,
+        Stage::Serving,
+        Stage::Leaving,
+        Stage::Gone,
+    ]);
+    let health = prop::sample::select(vec![Health::Alive, Health::Suspect, Health::Dead]);
+    let names = ("[a-z0-9-]{1,20}", "[a-z0-9]{1,8}");
+    (
+        names,
+        any::<SocketAddr>(),
+        any::<(u64, u64)>(),
+        stage,
+        health,
+    )
+        .prop_map(
+            |((host, domain), address, (incarnation, version), stage, health)| Member {
+                host: host.into(),
+                // What an IPv6 address carries beside its number and port is not sent.
+                address: SocketAddr::new(address.ip(), address.port()),
+                domain: domain.into(),
+                incarnation,
+                version,
+                stage,
+                health,
+            },
+        )
+}
+
+fn mark() -> impl Strategy<Value = Mark> {
+    any::<(u64, u64)>().prop_map(|(revision, sum)| Mark { revision, sum })
+}
+
+fn news() -> impl Strategy<Value = News> {
+    prop_oneof![
+        member().prop_map(News::Member),
+        ("[a-z/]{1,30}", mark()).prop_map(|(key, mark)| News::Value(key.into(), mark)),
+    ]
+}
+
+fn body() -> impl Strategy<Value = Body> {
+    prop_oneof![
+        any::<u64>().prop_map(Body::Ping),
+        any::<u64>().prop_map(Body::Ack),
+        any::<u64>().prop_map(Body::Proof),
+        Just(Body::Push),
+        (any::<u64>(), member()).prop_map(|(sequence, target)| Body::Probe {
+            sequence,
+            target: target.host,
+            address: target.address,
+        }),
+    ]
+}
+
+fn packet() -> impl Strategy<Value = Packet> {
+    let digest = any::<(u64, u64)>().prop_map(|(values, members)| Digest { values, members });
+    (
+        member(),
+        digest,
+        body(),
+        prop::collection::vec(news(), 0..8),
+    )
+        .prop_map(|(from, digest, body, news)| Packet {
+            from,
+            digest,
+            body,
+            news,
+        })
+}
+
+fn message() -> impl Strategy<Value = sync::Message> {
+    let members = prop::collection::vec(member(), 0..5);
+    let marks = prop::collection::vec(("[a-z/]{1,30}", mark()), 0..5);
+    prop_oneof![
+        Just(sync::Message::Ask),
+        (members, marks).prop_map(|(members, marks)| sync::Message::Told {
+            members,
+            marks: marks.into_iter().map(|(k, m)| (k.into(), m)).collect(),
+        }),
+        ("[a-z/]{1,30}", mark(), any::<u32>()).prop_map(|(key, mark, offset)| {
+            let key = key.into();
+            sync::Message::Pull { key, mark, offset }
+        }),
+        (
+            "[a-z/]{1,30}",
+            mark(),
+            any::<(u64, u32, u32)>(),
+            any::<Vec<u8>>()
+        )
+            .prop_map(|(key, mark, (version, offset, total), bytes)| {
+                sync::Message::Chunk {
+                    key: key.into(),
+                    mark,
+                    version,
+                    offset,
+                    total,
+                    bytes,
+                }
+            }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(23),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn packets_arrive_as_they_were_sent(packet in packet()) {
+        let bytes = datagram::encode(packet.clone());
+        prop_assert_eq!(datagram::decode(&bytes.unwrap_or_default()), Ok(packet));
+    }
+
+    #[test]
+    fn messages_arrive_as_they_were_sent(message in message()) {
+        let sent = vec![Message::Sync(message)];
+        let frame = frame::encode(sent.clone()).unwrap_or_default();
+        prop_assert_eq!(frame::decode(&mut BytesMut::from(&frame[..])), Ok(Some(sent)));
+    }
+
+    /// Anybody can send a datagram to an open port, and a packet can be cut short. A process that
+    /// fell over such bytes would be down.
+    #[test]
+    fn foreign_bytes_are_refused(packet in packet(), noise in any::<Vec<u8>>(), at in any::<u16>()) {
+        let bytes = datagram::encode(packet).unwrap_or_default();
+        let cut = &bytes[..usize::from(at) % bytes.len()];
+        prop_assert!(datagram::decode(cut).is_err());
+        prop_assert!(datagram::decode(&[&bytes[..], &[0]].concat()).is_err());
+        // Random bytes may by chance be a packet; they must not do harm.
+        let _ = datagram::decode(&noise);
+    }
+}
--- /dev/null
+++ b/crates/lentillift-node/tests/hub.rs
@@ -0,0 +1,74 @@
+//! Links to processes that are over.
+
+use lentillift_core::id;
+use lentillift_fleet::sync;
+use lentillift_node::hub;
+use lentillift_node::hub::Inbound;
+use lentillift_node::link;
+use lentillift_node::link::Peer;
+use lentillift_node::message::Message;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+fn peer(host: &str, incarnation: id::Incarnation) -> Peer {
+    Peer {
+        host: host.into(),
+        incarnation,
+    }
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    match TcpListener::bind("127.0.0.1:0").await {
+        Ok(listener) => {
+            let address = listener.local_addr();
+            (listener, address.unwrap_or_else(|e| panic!("{e}")))
+        }
+        Err(error) => panic!("{error}"),
+    }
+}
+
+/// A host loses power while others have connections to it, and its replacement takes its name at
+/// another address. Nothing ever closes the old connections; messages would go into them for many
+/// minutes while their senders wait.
+#[tokio::test]
+async fn lost_link_is_given_up_and_the_next_one_goes_to_the_new_address() {
+    let (node, _) = listener().await;
+    let (mail, mut inbound) = mpsc::channel(16);
+    let hub = hub::spawn(peer("a", 1), node, mail);
+
+    // It accepts one link and then neither reads nor closes.
+    let (old, old_address) = listener().await;
+    let held = tokio::spawn(async move {
+        let (stream, _) = old.accept().await.ok()?;
+        let link = link::accept(&peer("b", 1), stream).await.ok()?;
+        Some((old, link))
+    });
+    let ask = || Message::Sync(sync::Message::Ask);
+    hub.send("b".into(), old_address, ask()).await;
+    let held = held.await;
+    assert!(matches!(held, Ok(Some(_))));
+
+    // Of another incarnation nothing is known here, so nothing is given up for it. The link may
+    // still be on its way to the hub, which is told until it has it.
+    hub.lose(peer("b", 2)).await;
+    let down = loop {
+        hub.lose(peer("b", 1)).await;
+        tokio::task::yield_now().await;
+        if let Ok(down) = inbound.try_recv() {
+            break down;
+        }
+    };
+    assert!(matches!(down, Inbound::Down { host } if *host == *"b"));
+
+    let (new, new_address) = listener().await;
+    let (mail, mut at_new) = mpsc::channel(16);
+    let _new = hub::spawn(peer("b", 2), new, mail);
+    hub.send("b".into(), new_address, ask()).await;
+    let received = at_new.recv().await;
+    let Some(Inbound::Received { peer, messages }) = received else {
+        panic!("found {received:?}");
+    };
+    assert_eq!(&*peer.host, "a");
+    assert_eq!(messages, [ask()]);
+}
--- a/crates/lentilliftd/src/fleet.rs
+++ b/crates/lentilliftd/src/fleet.rs
@@ -14,6 +14,7 @@
 use lentillift_fleet::value::Key;
 use lentillift_fleet::view::View;
 use lentillift_node::datagram;
+use lentillift_node::link::Peer;
 use lentillift_node::message::Message;
 use lentillift_operator::server::Board;
 use lentillift_platform::client;
@@ -47,6 +48,13 @@
     End(oneshot::Sender<()>),
 }
 
+/// What is to be done about a link.
+#[derive(Debug)]
+enum Letter {
+    Send(id::Host, Message),
+    Lose(Peer),
+}
+
 /// The task that takes part in the fleet.
 #[derive(Debug)]
 pub struct Task {
@@ -61,7 +69,7 @@
     ///
     /// A task of its own passes them on: while this one waited for a full queue it would neither
     /// answer probes nor renew the view, and the whole process would look dead.
-    letters: mpsc::Sender<(id::Host, Message)>,
+    letters: mpsc::Sender<Letter>,
 }
 
 /// The other tasks that the task needs.
@@ -141,11 +149,8 @@
                 self.view.send_replace(view);
             }
             Effect::Packet(to, packet) => self.send(to, packet),
-            Effect::Message(to, message) => {
-                if self.letters.try_send((to, Message::Sync(message))).is_err() {
-                    self.board.add("lentillift_sync_dropped_total", &[], 1);
-                }
-            }
+            Effect::Message(to, message) => self.post(Letter::Send(to, Message::Sync(message))),
+            Effect::Lost(host, incarnation) => self.post(Letter::Lose(Peer { host, incarnation })),
             Effect::Call(call) => self.call(call),
             Effect::Ready(ready) => self.board.set_ready(ready),
             Effect::Note {
@@ -159,6 +164,12 @@
         }
     }
 
+    fn post(&self, letter: Letter) {
+        if self.letters.try_send(letter).is_err() {
+            self.board.add("lentillift_sync_dropped_total", &[], 1);
+        }
+    }
+
     fn send(&self, to: SocketAddr, packet: Packet) {
         let labels = [("direction", "sent")];
         match datagram::encode(packet) {
@@ -222,8 +233,11 @@
 }
 
 /// Passes messages on to peers until the task that writes them is gone.
-async fn deliver(mut queue: mpsc::Receiver<(id::Host, Message)>, peers: Peers) {
-    while let Some((to, message)) = queue.recv().await {
-        peers.send(&to, message).await;
+async fn deliver(mut queue: mpsc::Receiver<Letter>, peers: Peers) {
+    while let Some(letter) = queue.recv().await {
+        match letter {
+            Letter::Send(to, message) => peers.send(&to, message).await,
+            Letter::Lose(peer) => peers.lose(peer).await,
+        }
     }
 }
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Gives up the link to a process that is held to be over.
+    pub async fn lose(&self, peer: Peer) {
+        self.hub.lose(peer).await;
+    }
+
     fn address(&self, host: &id::Host) -> Option<std::net::SocketAddr> {
         Some(self.view.borrow().hosts.get(host)?.address)
     }
