--- a/crates/lentillift-caller/src/parse.rs
+++ b/crates/lentillift-caller/src/parse.rs
@@ -9,8 +9,10 @@
 use lentillift_core::refusal::Refusal;
 use lentillift_entry::answer::Ask;
 use lentillift_once::submit::Submit;
-use serde::Deserialize;
 use serde::de::IgnoredAny;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::collections::HashMap;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -59,11 +61,8 @@
     Refused(Refusal),
 }
 
-/// The field of a query's body that is not opaque.
-#[derive(Debug, Deserialize)]
-struct Body {
-    limit: Option<usize>,
-}
+/// The fields of a query's body; all but `limit` are the backend servers' own.
+type Body<'a> = HashMap<Cow<'a, str>, &'a RawValue>;
 
 /// Parses a request.
 ///
@@ -94,8 +93,12 @@
 
 fn query(service: &str, request: &Request<Bytes>) -> Result<Ask, Refusal> {
     let headers = request.headers();
-    let body: Body = serde_json::from_slice(request.body()).map_err(malformed)?;
-    let limit = body.limit.unwrap_or(DEFAULT_LIMIT);
+    let body: Body<'_> = serde_json::from_slice(request.body()).map_err(malformed)?;
+    let limit = match body.get("limit") {
+        Some(limit) => serde_json::from_str(limit.get())
+            .map_err(|e| malformed(format!("limit: found {limit}: {e}")))?,
+        None => DEFAULT_LIMIT,
+    };
     if limit > MOST_HITS {
         return Err(malformed(format!(
             "limit: found {limit}, at most {MOST_HITS} is right"
@@ -109,7 +112,7 @@
     }
     Ok(Ask {
         service: service.into(),
-        caller: required::<String>(headers, CALLER)?.into(),
+        caller: caller(headers)?,
         allowance: allowance(headers)?,
         limit,
         least_coverage,
@@ -120,7 +123,7 @@
 fn issue(service: &str, request: &Request<Bytes>) -> Result<Route, Refusal> {
     Ok(Route::Issue {
         service: service.into(),
-        caller: required::<String>(request.headers(), CALLER)?.into(),
+        caller: caller(request.headers())?,
     })
 }
 
@@ -129,13 +132,21 @@
     serde_json::from_slice::<IgnoredAny>(request.body()).map_err(malformed)?;
     Ok(Submit {
         service: service.into(),
-        caller: required::<String>(headers, CALLER)?.into(),
+        caller: caller(headers)?,
         allowance: allowance(headers)?,
         key: required(headers, KEY)?,
         body: request.body().as_ref().into(),
     })
 }
 
+fn caller(headers: &HeaderMap) -> Result<id::Caller, Refusal> {
+    let name: String = required(headers, CALLER)?;
+    if name.is_empty() {
+        return Err(malformed(format!("{CALLER}: missing")));
+    }
+    Ok(name.into())
+}
+
 fn allowance(headers: &HeaderMap) -> Result<Duration, Refusal> {
     let missing = || {
         let detail = format!("{ALLOWANCE}: missing, a number of milliseconds is right");
@@ -157,9 +168,15 @@
 where
     T: FromStr,
 {
-    let Some(value) = headers.get(name) else {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
         return Ok(None);
     };
+    // Which of two values counts would be a guess, and callers would be mixed up.
+    let more = values.count();
+    if more > 0 {
+        return Err(malformed(format!("{name}: found {} values", more + 1)));
+    }
     let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
     match parsed {
         Some(parsed) => Ok(Some(parsed)),
