--- a/crates/lentillift-once/src/flight.rs
+++ b/crates/lentillift-once/src/flight.rs
@@ -125,7 +125,7 @@
                 Settled::not_run(Cause::Leaving, "the id's home is ending; take a new id");
             return Err(leaving.retry_after(RETRY_AFTER));
         }
-        self.check(&submit.service, &submit.caller)
+        self.check(now, &submit.service, &submit.caller)
             .map_err(|refusal| {
                 let settled = Settled::not_run(refusal.cause, &refusal.detail);
                 match refusal.retry_after {
--- a/crates/lentillift-settings/src/document.rs
+++ b/crates/lentillift-settings/src/document.rs
@@ -1,5 +1,6 @@
 //! A text of JSON with comments, parsed with the places of its fields.
 
+use crate::depth;
 use crate::fault::Fault;
 use crate::fault::Line;
 use crate::fault::Report;
@@ -11,12 +12,6 @@
 use jsonc_parser::common::Ranged;
 use serde::de::DeserializeOwned;
 
-/// Deepest nesting that is read; the shapes of all values stay far below.
-///
-/// The parser calls itself for each level. One published value of a million brackets would
-/// overflow the stack of every process at the same moment, so it is refused before it is parsed.
-const DEPTH: usize = 32;
-
 /// A parsed text.
 #[derive(Debug)]
 pub struct Document<'a> {
@@ -39,10 +34,10 @@
                 fault: Fault::new(Vec::<String>::new(), found, "JSON with comments"),
             }],
         };
-        if let Some(at) = too_deep(text) {
+        if let Some(at) = depth::excess(text) {
             return Err(report(
                 line_at(text, at),
-                format!("more than {DEPTH} nested brackets"),
+                format!("more than {} nested brackets", depth::MOST),
             ));
         }
         let options = ParseOptions {
@@ -162,21 +157,3 @@
     let before = text.as_bytes().iter().take(at);
     before.filter(|byte| **byte == b'\n').count() + 1
 }
-
-/// Where brackets nest deeper than [`DEPTH`], if they do.
-///
-/// Brackets in strings and comments count too; no text that people write comes near the limit.
-fn too_deep(text: &str) -> Option<usize> {
-    let mut depth = 0_usize;
-    for (at, byte) in text.bytes().enumerate() {
-        match byte {
-            b'{' | b'[' => depth += 1,
-            b'}' | b']' => depth = depth.saturating_sub(1),
-            _ => {}
-        }
-        if depth > DEPTH {
-            return Some(at);
-        }
-    }
-    None
-}
--- a/crates/lentillift-settings/src/lib.rs
+++ b/crates/lentillift-settings/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod change;
 pub mod config;
 pub mod daemon;
+pub mod depth;
 pub mod document;
 pub mod draft;
 pub mod fault;
--- a/crates/lentilliftd/src/lib.rs
+++ b/crates/lentilliftd/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod owner;
 pub mod peers;
 mod report;
+mod trace;
--- a/crates/lentilliftd/src/main.rs
+++ b/crates/lentilliftd/src/main.rs
@@ -14,6 +14,7 @@
 use lentilliftd::daemon::Sockets;
 use serde_json::Map;
 use std::io::IsTerminal;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -23,6 +24,9 @@
 use tracing::info;
 use tracing_subscriber::EnvFilter;
 
+/// Environment variable that names a directory for traces of the decisions of this process.
+const TRACES: &str = "LENTILLIFT_TRACE";
+
 /// Worker threads for sockets and decisions.
 const WORKERS: usize = 2;
 
@@ -48,6 +52,10 @@
   lentilliftd --settings lentilliftd.jsonc --log json
       Log lines as JSON. RUST_LOG=debug shows more.
 
+Environment:
+  RUST_LOG          which log lines are written, such as debug or warn
+  LENTILLIFT_TRACE  directory for traces of this process's decisions, to be replayed
+
 Exit codes:
   0  ended as asked, or the settings are right
   1  it could not run
@@ -156,7 +164,9 @@
     });
     println!("{listening}");
     let started = SystemTime::now().duration_since(UNIX_EPOCH)?;
-    let daemon = Daemon::start(&settings, sockets, started.as_nanos() as u64);
+    let traces = std::env::var_os(TRACES).map(PathBuf::from);
+    let incarnation = started.as_nanos() as u64;
+    let daemon = Daemon::start_traced(&settings, sockets, incarnation, traces.as_deref());
     info!(host = %settings.host, domain = %settings.domain, "started");
     let mut terminate = signal(SignalKind::terminate())?;
     terminate.recv().await;
