--- a/crates/lentillift-settings/src/depth.rs
+++ b/crates/lentillift-settings/src/depth.rs
@@ -8,12 +8,12 @@
 use jsonc_parser::tokens::Token;
 
 /// Levels that JSON may have.
-pub const MOST: u32 = 64;
+pub const MOST: u32 = 32;
 
-/// Where `text` is nested deeper than [`MOST`], if it is.
+/// Where in `text` brackets nest deeper than [`MOST`], if they do.
 ///
 /// What is no JSON is left to the parser to report.
-pub fn excess(text: &str) -> Option<usize> {
+pub fn exceeded(text: &str) -> Option<usize> {
     let mut scanner = Scanner::new(text);
     let mut depth = 0_u32;
     while let Ok(Some(token)) = scanner.scan() {
--- a/crates/lentillift-settings/src/document.rs
+++ b/crates/lentillift-settings/src/document.rs
@@ -34,7 +34,7 @@
                 fault: Fault::new(Vec::<String>::new(), found, "JSON with comments"),
             }],
         };
-        if let Some(at) = depth::excess(text) {
+        if let Some(at) = depth::exceeded(text) {
             return Err(report(
                 line_at(text, at),
                 format!("more than {} nested brackets", depth::MOST),
--- a/crates/lentillift-settings/tests/answers.rs
+++ b/crates/lentillift-settings/tests/answers.rs
@@ -134,7 +134,7 @@
 fn brackets_without_end_are_refused() {
     let text = "[".repeat(1024 * 1024);
     let report = Answers::parse("a", &text).expect_err("too deep");
-    let right = "a:1: found more than 64 nested brackets, right is JSON with comments";
+    let right = "a:1: found more than 32 nested brackets, right is JSON with comments";
     assert_eq!(report.to_string(), right);
 }
 
