--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -1,7 +1,7 @@
 //! What each series means, for Prometheus' `# HELP` lines.
 
 /// Series and their meanings.
-const HELP: [(&str, &str); 38] = [
+const HELP: [(&str, &str); 39] = [
     (
         "lentillift_actions_total",
         "Requests that may run at most once, by outcome.",
@@ -91,6 +91,10 @@
         "lentillift_owner_refused_cold_total",
         "Sub-requests refused because the backend server is cold and full.",
     ),
+    (
+        "lentillift_owner_refused_hedges_total",
+        "Hedges refused because the backend server had no slot free at once.",
+    ),
     (
         "lentillift_owner_refused_late_total",
         "Sub-requests refused because their reply would have come too late.",
