--- a/crates/lentillift-entry/src/core.rs
+++ b/crates/lentillift-entry/src/core.rs
@@ -31,13 +31,16 @@
 use lentillift_settings::config::Kind;
 use lentillift_settings::policy::Policy;
 use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// What happens to an entry.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Event {
     /// A caller asked.
     Ask {
@@ -72,7 +75,8 @@
 }
 
 /// What an entry wants done.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Effect {
     /// Send a sub-request to an owner.
     Send {
@@ -205,7 +209,11 @@
     }
 
     fn refit(&mut self, view: Arc<View>) {
+        let same = view.generation > 0 && view.generation == self.view.generation;
         self.view = view;
+        if same {
+            return;
+        }
         let config = self.view.values.config.as_ref();
         self.policy = config.map_or_else(Policy::default, |config| config.policy.clone());
         let backends = &self.view.backends;
--- a/crates/lentillift-node/src/lib.rs
+++ b/crates/lentillift-node/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod hub;
 pub mod link;
 pub mod message;
+mod mirror;
 pub mod once;
 pub mod wire;
--- a/crates/lentillift-node/src/wire.rs
+++ b/crates/lentillift-node/src/wire.rs
@@ -4,6 +4,7 @@
 
 use crate::gossip;
 use crate::message;
+use crate::mirror::mirror;
 use crate::once::Parcel;
 use crate::once::Settled;
 use crate::once::Submit;
@@ -313,29 +314,6 @@
     }
 }
 
-/// Writes the conversions, both ways, between two enums with the same unit variants.
-macro_rules! mirror {
-    ($domain:ty, $wire:ty, $($variant:ident),+) => {
-        impl From<$domain> for $wire {
-            fn from(value: $domain) -> Self {
-                match value {
-                    $(<$domain>::$variant => Self::$variant,)+
-                }
-            }
-        }
-
-        impl From<$wire> for $domain {
-            fn from(value: $wire) -> Self {
-                match value {
-                    $(<$wire>::$variant => Self::$variant,)+
-                }
-            }
-        }
-    };
-}
-
-pub(crate) use mirror;
-
 mirror!(sub::Desk, Desk, Query, Once);
 mirror!(outcome::Outcome, Outcome, Done, NotRun, Unknown);
 mirror!(
--- a/crates/lentillift-settings/src/policy.rs
+++ b/crates/lentillift-settings/src/policy.rs
@@ -4,6 +4,8 @@
 //! unless the configuration says otherwise. Shares are in percent, so that a configuration can be
 //! compared bit by bit.
 
+use crate::fault::Fault;
+use crate::shape::Shape;
 use lentillift_core::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -74,6 +76,9 @@
     pub on: bool,
     /// How many times the service's usual time a long request takes at least.
     pub long_factor: u32,
+    /// Use from which a caller leaves the last slot to others, in percent of its fair share; 0 for
+    /// never.
+    pub excess_percent: u32,
 }
 
 impl Default for Queue {
@@ -81,6 +86,7 @@
         Self {
             on: true,
             long_factor: 4,
+            excess_percent: 150,
         }
     }
 }
@@ -269,11 +275,11 @@
 
 impl Policy {
     /// All that makes the figures unfit to be in force.
-    pub fn faults(&self) -> Vec<String> {
+    pub fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
         let mut least = |field: &str, found: u64| {
             if found == 0 {
-                faults.push(format!("policy.{field}: found 0, at least 1 is right"));
+                faults.push(Fault::new(path(field), "0", "at least 1"));
             }
         };
         least("admission.window_ms", self.admission.window_ms);
@@ -286,7 +292,8 @@
         least("health.failures", self.health.failures.into());
         let mut share = |field: &str, found: u32| {
             if found > 100 {
-                faults.push(format!("policy.{field}: found {found}, 0 to 100 is right"));
+                let right = "a whole number from 0 to 100";
+                faults.push(Fault::new(path(field), found.to_string(), right));
             }
         };
         share("admission.refused_percent", self.admission.refused_percent);
@@ -303,3 +310,13 @@
 pub fn millis(figure: u64) -> Duration {
     Duration::from_millis(figure)
 }
+
+fn path(field: &str) -> impl Iterator<Item = &str> {
+    ["policy"].into_iter().chain(field.split('.'))
+}
+
+/// The shape of the figures: that of their defaults, of which any part may be left out.
+pub const SHAPE: Shape = Shape::Like(|| {
+    // The type holds nothing that JSON could not.
+    serde_json::to_value(Policy::default()).unwrap_or_default()
+});
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -135,9 +135,6 @@
                 };
                 self.once(event).await;
             }
-            Message::Sync(message) => {
-                let _ = self.fleet.send(fleet::Mail::Message(from, message)).await;
-            }
             Message::Settled { request, settled } => {
                 let event = once::Event::Settled {
                     from,
@@ -151,6 +148,9 @@
             }
             Message::Handover(parcel) => self.once(once::Event::Handover { from, parcel }).await,
             Message::Taken { number } => self.once(once::Event::Taken { number }).await,
+            Message::Sync(message) => {
+                let _ = self.fleet.send(fleet::Mail::Message(from, message)).await;
+            }
         }
     }
 
