Say on the time line which peer a revision came from

Operators could see when a revision was in force at each process, and not by which way it got there. The note now carries the value's key and revision and the peer that sent it, by which the time line over all processes is ordered.

--- a/crates/lentillift-fleet/src/core.rs
+++ b/crates/lentillift-fleet/src/core.rs
@@ -100,6 +100,10 @@
         subject: String,
         /// What changed.
         detail: String,
+        /// The value and its revision, if one was put in force.
+        token: Option<String>,
+        /// The peer that the value came from, if not from the configuration service.
+        from: Option<id::Host>,
     },
 }
 
@@ -389,5 +393,7 @@
         kind,
         subject: subject.to_owned(),
         detail,
+        token: None,
+        from: None,
     }
 }
--- a/crates/lentillift-fleet/src/exchange.rs
+++ b/crates/lentillift-fleet/src/exchange.rs
@@ -13,7 +13,6 @@
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use rand::Rng;
-use std::sync::Arc;
 
 impl<R> Fleet<R>
 where
@@ -92,7 +91,7 @@
             if offered.is_err() {
                 self.refused.insert(arrival.key.clone(), arrival.mark);
             }
-            effects.extend(self.offered(now, &arrival.key, offered, from));
+            effects.extend(self.offered(now, &arrival.key, offered, Some(from)));
             effects.extend(self.pull(now));
         }
         effects
@@ -119,7 +118,7 @@
         let mut effects = match body {
             Some(body) => {
                 let offered = self.store.offer(key, version, &body);
-                self.offered(now, key, offered, &"configuration service".into())
+                self.offered(now, key, offered, None)
             }
             None => Vec::new(),
         };
@@ -133,9 +132,10 @@
         now: Time,
         key: &Key,
         offered: Result<Offer>,
-        from: &Arc<str>,
+        from: Option<&id::Host>,
     ) -> Vec<Effect> {
         self.fetch.settle(key, self.store.mark(key));
+        let source = from.map_or("configuration service", |from| from);
         match offered {
             Ok(Offer::Taken(mark)) => {
                 let hosts = self.table.len();
@@ -146,11 +146,16 @@
                 {
                     self.table.publish(now, &self.own.host, roster);
                 }
-                let detail = format!("revision {} from {from}", mark.revision);
-                vec![note("in force", key, detail)]
+                vec![Effect::Note {
+                    kind: "in force",
+                    subject: key.to_string(),
+                    detail: format!("revision {} from {source}", mark.revision),
+                    token: Some(format!("{key} {}", mark.revision)),
+                    from: from.cloned(),
+                }]
             }
             Ok(Offer::Old) => Vec::new(),
-            Err(error) => vec![note("refused", key, format!("from {from}: {error}"))],
+            Err(error) => vec![note("refused", key, format!("from {source}: {error}"))],
         }
     }
 }
--- a/crates/lentillift-fleet/tests/common/mod.rs
+++ b/crates/lentillift-fleet/tests/common/mod.rs
@@ -372,6 +372,7 @@
                 kind,
                 subject,
                 detail,
+                ..
             } => {
                 let now = self.now;
                 if let Some(node) = self.nodes.get_mut(host) {
--- a/crates/lentilliftd/src/fleet.rs
+++ b/crates/lentilliftd/src/fleet.rs
@@ -17,6 +17,7 @@
 use lentillift_node::link::Peer;
 use lentillift_node::message::Message;
 use lentillift_operator::server::Board;
+use lentillift_operator::event::Note;
 use lentillift_platform::client;
 use lentillift_platform::client::Client;
 use rand::rngs::StdRng;
@@ -157,9 +158,16 @@
                 kind,
                 subject,
                 detail,
+                token,
+                from,
             } => {
                 info!(kind, subject, detail);
-                self.board.event(kind, &subject, detail);
+                let note = Note::new(kind, &subject, detail);
+                self.board.note(Note {
+                    token,
+                    from,
+                    ..note
+                });
             }
         }
     }
