--- a/crates/lentillift-owner/src/core/refit.rs
+++ b/crates/lentillift-owner/src/core/refit.rs
@@ -14,7 +14,11 @@
     /// Takes in a new view, answers what it leaves without a server, and drops servers that are
     /// no longer owned; one that comes back later is cold.
     pub(super) fn refit(&mut self, now: Time, view: Arc<View>) -> Vec<Effect> {
+        let same = view.generation > 0 && view.generation == self.view.generation;
         self.view = view;
+        if same {
+            return Vec::new();
+        }
         self.config = self.view.values.config.clone();
         self.policy = self
             .config
@@ -46,11 +50,9 @@
         }
         let mut effects = Vec::new();
         if !owned || service.is_none() || !self.view.in_service(backend) {
-            let mut waiting = Vec::new();
-            while let Some((_, _, next)) = server.queue.pop(true) {
-                waiting.push(next);
-            }
-            for waiting in waiting {
+            // Whatever it was taken out for, it may come back with empty caches.
+            server.warmup.chill(&self.policy.warmup);
+            for waiting in server.queue.drain() {
                 let failure = self.objection(now, &waiting.sub);
                 effects.push(self.refuse(now, waiting, failure.unwrap_or(Failure::NotOwner)));
             }
--- a/crates/lentillift-settings/src/roster.rs
+++ b/crates/lentillift-settings/src/roster.rs
@@ -1,6 +1,10 @@
 //! The published list of hosts that run the system.
 
+use crate::placement::SERVER;
 use crate::placement::State;
+use crate::review;
+use crate::shape::Shape;
+use crate::shape::required;
 use lentillift_core::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -30,16 +34,13 @@
 impl Roster {
     /// All that makes the list unfit to be in force.
     pub fn faults(&self) -> Vec<String> {
-        let mut faults = Vec::new();
-        let mut addresses = BTreeMap::new();
-        for (host, entry) in &self.hosts {
-            if let Some(other) = addresses.insert(entry.address, host) {
-                faults.push(format!(
-                    "hosts.{host}.address: {} is the address of {other} too",
-                    entry.address
-                ));
-            }
-        }
-        faults
+        let faults = review::roster(self).into_iter();
+        faults.map(|fault| fault.to_string()).collect()
     }
 }
+
+/// The shape of a list of hosts.
+pub const SHAPE: Shape = Shape::Record(&[
+    required("revision", review::REVISION),
+    required("hosts", Shape::Map(&SERVER)),
+]);
--- a/crates/lentilliftd/src/lib.rs
+++ b/crates/lentilliftd/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod once;
 pub mod owner;
 pub mod peers;
+mod report;
 mod trace;
