--- a/crates/lentillift-load/src/run.rs
+++ b/crates/lentillift-load/src/run.rs
@@ -72,7 +72,9 @@
     };
     let over = AtomicBool::new(false);
     let counts = thread::scope(|scope| {
-        let clients: Vec<_> = (0..CLIENTS).map(|_| scope.spawn(|| load.client())).collect();
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|_| scope.spawn(|| load.client()))
+            .collect();
         let faults = scope.spawn(|| bring_about(scenario, control, load.start));
         let checks = scope.spawn(|| watch(&balancer, control, &over));
         let counts = scope.spawn(|| count(control, load.start, &over));
--- a/crates/lentillift-load/src/scenario.rs
+++ b/crates/lentillift-load/src/scenario.rs
@@ -1,7 +1,6 @@
 //! What a load run does.
 
 use lentillift_standin::fault::Fault;
-use lentillift_standin::world::World;
 use serde::Deserialize;
 
 /// What a load run does.
@@ -23,8 +22,6 @@
     /// Faults in the order of their time.
     #[serde(default)]
     pub faults: Vec<Timed>,
-    /// The platform's side.
-    pub world: World,
 }
 
 /// One caller's requests to one service.
--- a/crates/lentillift-settings/src/policy.rs
+++ b/crates/lentillift-settings/src/policy.rs
@@ -40,6 +40,21 @@
     pub health: Health,
 }
 
+impl Policy {
+    /// Switches off every decision that has a switch, as a baseline for load runs.
+    pub fn switch_off(&mut self) {
+        self.admission.on = false;
+        self.queue.on = false;
+        self.coalescing.on = false;
+        self.slots.on = false;
+        self.warmup.on = false;
+        self.choice.on = false;
+        self.hedge.on = false;
+        self.retry.on = false;
+        self.health.on = false;
+    }
+}
+
 /// Figures of the admission at an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/lentillift-standin/src/main.rs
+++ b/crates/lentillift-standin/src/main.rs
@@ -1,31 +1,44 @@
-//! Runs the stand-ins of a load scenario.
+//! Runs the stand-ins for a platform and its backend servers as one process.
 
 #![forbid(unsafe_code)]
 
 use anyhow::Context;
+use getopts::Options;
 use lentillift_settings::jsonc;
 use lentillift_standin::control;
 use lentillift_standin::world::World;
-use serde::Deserialize;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-/// The part of a scenario that is of concern here.
-#[derive(Debug, Deserialize)]
-struct Scenario {
-    world: World,
-}
+/// Worker threads; the stand-ins must not be what a load run measures.
+const WORKERS: usize = 4;
+
+const USAGE: &str = "Usage: lentillift-standin [--policies-off] WORLD";
 
 fn main() -> anyhow::Result<()> {
-    let file = std::env::args().nth(1);
-    let file = file.context("Usage: lentillift-standin SCENARIO")?;
-    let text = std::fs::read_to_string(&file).with_context(|| file.clone())?;
-    let scenario: Scenario = jsonc::parse(&file, &text)?;
+    let mut options = Options::new();
+    options.optflag(
+        "",
+        "policies-off",
+        "publish a configuration without decisions under load",
+    );
+    options.optflag("h", "help", "show this help");
+    let matches = options.parse(std::env::args().skip(1))?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(USAGE));
+        return Ok(());
+    }
+    let file = matches.free.first().context(USAGE)?;
+    let text = std::fs::read_to_string(file).with_context(|| file.clone())?;
+    let mut world: World = jsonc::parse(file, &text)?;
+    if matches.opt_present("policies-off") {
+        world.config.policy.switch_off();
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(4)
+        .worker_threads(WORKERS)
         .enable_all()
         .build()?;
-    runtime.block_on(run(&scenario.world))
+    runtime.block_on(run(&world))
 }
 
 async fn run(world: &World) -> anyhow::Result<()> {
--- a/crates/lentillift/src/command.rs
+++ b/crates/lentillift/src/command.rs
@@ -4,6 +4,7 @@
 pub(crate) mod configure;
 pub(crate) mod diff;
 pub(crate) mod init;
+pub(crate) mod load;
 pub(crate) mod query;
 pub(crate) mod service;
 pub(crate) mod status;
@@ -49,6 +50,7 @@
     status::COMMAND,
     query::COMMAND,
     timeline::COMMAND,
+    load::COMMAND,
 ];
 
 /// A command line that is wrong.
