--- a/crates/lentillift-entry/examples/patterns.rs
+++ b/crates/lentillift-entry/examples/patterns.rs
@@ -3,7 +3,7 @@
 #[path = "../tests/bench/mod.rs"]
 mod bench;
 
-use bench::patterns;
+use bench::table;
 
 fn main() {
     let only = std::env::args().nth(1);
@@ -11,7 +11,7 @@
     println!(
         "pattern | policy | callers | asked | whole | partial | refused | late | p50 ms | p99 ms | slowest refusal ms"
     );
-    for pattern in patterns::ALL {
+    for pattern in table::ALL {
         if only
             .as_ref()
             .is_none_or(|only| pattern.name.contains(only.as_str()))
--- a/crates/lentillift-entry/tests/bench/backend.rs
+++ b/crates/lentillift-entry/tests/bench/backend.rs
@@ -1,6 +1,6 @@
 //! A backend server that takes its time.
 
-use super::Setup;
+use super::setup::Setup;
 use lentillift_core::hit::Hit;
 use lentillift_core::sub;
 use lentillift_core::sub::Failure;
@@ -18,6 +18,9 @@
 /// Start of the body of a long request.
 pub const LONG: &str = "long";
 
+/// The body that many queries share.
+pub const SAME: &str = "same";
+
 /// How many times as long a request takes at a cold server.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -62,6 +65,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Running {
     shard: u32,
+    /// Whether it has the body that many queries share, and is no hedge.
+    same: bool,
     /// Whether its client has given it up.
     late: bool,
 }
@@ -111,13 +116,23 @@
         }
     }
 
+    /// Requests with the body that many queries share, hedges aside.
+    pub fn same(&self) -> usize {
+        self.running.values().filter(|running| running.same).count()
+    }
+
     pub fn start(&mut self, run: Run, sub: &Sub, rng: &mut StdRng) -> Start {
         let shard = match sub.work {
             sub::Work::Search { shard, .. } => shard,
             sub::Work::Action { .. } => 0,
         };
         self.runs += 1;
-        self.running.insert(run, Running { shard, late: false });
+        let running = Running {
+            shard,
+            same: &*sub.body == SAME.as_bytes() && !sub.hedge,
+            late: false,
+        };
+        self.running.insert(run, running);
         self.peak = self.peak.max(self.running.len());
         if self.hung {
             return Start::Hangs;
--- a/crates/lentillift-entry/tests/bench/load.rs
+++ b/crates/lentillift-entry/tests/bench/load.rs
@@ -1,6 +1,7 @@
 //! Streams of queries that arrive whatever becomes of the ones before.
 
 use super::backend::LONG;
+use super::backend::SAME;
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_entry::answer::Ask;
@@ -49,7 +50,7 @@
     pub fn ask(&self, service: &str, request: id::Request) -> Ask {
         let body = match self.body {
             Body::Fresh => format!("{request}"),
-            Body::Same => "same".to_owned(),
+            Body::Same => SAME.to_owned(),
             Body::Long => format!("{LONG}{request}"),
         };
         Ask {
--- a/crates/lentillift-entry/tests/bench/mod.rs
+++ b/crates/lentillift-entry/tests/bench/mod.rs
@@ -9,14 +9,14 @@
 pub mod load;
 pub mod patterns;
 pub mod report;
+pub mod setup;
+pub mod table;
 
 use backend::End;
 use backend::Fake;
 use backend::Run;
 use backend::Start;
 use lentillift_core::id;
-use lentillift_core::snapshot::Map;
-use lentillift_core::snapshot::Part;
 use lentillift_core::sub;
 use lentillift_core::time::Time;
 use lentillift_entry::core as entry;
@@ -25,20 +25,17 @@
 use lentillift_fleet::view::View;
 use lentillift_owner::core as owner;
 use lentillift_owner::core::Owner;
-use lentillift_settings::config::Caller;
-use lentillift_settings::config::Class;
 use lentillift_settings::config::Config;
-use lentillift_settings::config::Kind;
-use lentillift_settings::config::Service;
-use lentillift_settings::placement::Placement;
-use lentillift_settings::placement::Server;
-use lentillift_settings::placement::State;
-use lentillift_settings::policy::Policy;
 use load::Stream;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use report::Caught;
+use setup::SERVICE;
+use setup::Setup;
+use setup::config;
+use setup::domain;
+use setup::placement;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
@@ -48,50 +45,6 @@
 /// One way between two hosts.
 const HOP: Duration = Duration::from_micros(300);
 
-/// The only service.
-pub const SERVICE: &str = "search";
-
-/// The classes, by rank.
-pub const CLASSES: [&str; 3] = ["name", "timetable", "archive"];
-
-/// What is built.
-#[derive(Debug, Clone)]
-pub struct Setup {
-    pub hosts: usize,
-    pub domains: usize,
-    pub shards: u32,
-    /// Replicas of each shard, each on a backend server of its own.
-    pub replicas: usize,
-    pub slots: u32,
-    pub queue_ms: u64,
-    /// Callers with their class and weight.
-    pub callers: Vec<(&'static str, &'static str, u32)>,
-    /// Time of an untroubled request.
-    pub service_time: Duration,
-    pub policy: Policy,
-    /// Factor of all times at which something happens; rates and allowances stay.
-    pub pace: f64,
-    pub seed: u64,
-}
-
-impl Default for Setup {
-    fn default() -> Self {
-        Self {
-            hosts: 3,
-            domains: 3,
-            shards: 4,
-            replicas: 2,
-            slots: 2,
-            queue_ms: 100,
-            callers: vec![("reader", "name", 1)],
-            service_time: Duration::from_millis(5),
-            policy: Policy::default(),
-            pace: 1.0,
-            seed: 7,
-        }
-    }
-}
-
 /// What happens at a point in time.
 enum Event {
     Entry(usize, entry::Event),
@@ -149,77 +102,6 @@
     rng: StdRng,
 }
 
-/// Name of the replica `replica` of shard `shard`.
-pub fn backend(shard: u32, replica: usize) -> id::Backend {
-    format!("b{shard}-{replica}").into()
-}
-
-fn config(setup: &Setup) -> Config {
-    let service = Service {
-        kind: Kind::Search,
-        class: CLASSES[0].into(),
-        slots: setup.slots,
-        connections: 25,
-        cold_slots: 1,
-        connect_ms: 6,
-    };
-    let classes = (0..).zip(CLASSES).map(|(rank, name)| {
-        let queue_ms = setup.queue_ms;
-        (name.into(), Class { rank, queue_ms })
-    });
-    let callers = setup.callers.iter();
-    let mut policy = setup.policy.clone();
-    for (name, class, _) in &setup.callers {
-        policy.classes.insert((*name).into(), (*class).into());
-    }
-    Config {
-        revision: 1,
-        domains: (0..setup.domains).map(domain).collect(),
-        regions: Default::default(),
-        domains_out: Default::default(),
-        hosts_out: Default::default(),
-        classes: classes.collect(),
-        callers: callers
-            .map(|(name, _, weight)| ((*name).into(), Caller { weight: *weight }))
-            .collect(),
-        services: [(SERVICE.into(), service)].into(),
-        least_allowance_ms: 1,
-        most_allowance_ms: 60_000,
-        policy,
-    }
-}
-
-/// Name of failure domain `number`.
-pub fn domain(number: usize) -> id::Domain {
-    format!("d{number}").into()
-}
-
-fn placement(setup: &Setup) -> Placement {
-    let mut servers = BTreeMap::new();
-    let mut parts = Vec::new();
-    for shard in 0..setup.shards {
-        let replicas: Vec<_> = (0..setup.replicas).map(|r| backend(shard, r)).collect();
-        for (replica, name) in replicas.iter().enumerate() {
-            let server = Server {
-                address: ([127, 0, 0, 1], 1).into(),
-                domain: domain((shard as usize + replica) % setup.domains),
-                state: State::Live,
-            };
-            servers.insert(name.clone(), server);
-        }
-        parts.push(Part {
-            shard,
-            weight: 1,
-            replicas,
-        });
-    }
-    Placement {
-        revision: 1,
-        servers,
-        maps: vec![Map { snapshot: 1, parts }],
-    }
-}
-
 impl World {
     pub fn new(setup: &Setup) -> Self {
         let mut rng = StdRng::seed_from_u64(setup.seed);
@@ -446,6 +328,11 @@
             }
         }
         self.push(left, Event::End(backend, run, End::Late));
+        let shard = sub.backend.split('-').next().unwrap_or_default();
+        let replicas = self.backends.iter();
+        let replicas = replicas.filter(|(name, _)| name.split('-').next() == Some(shard));
+        let same = replicas.map(|(_, fake)| fake.same()).sum();
+        self.caught.most_same = self.caught.most_same.max(same);
     }
 
     fn end(&mut self, backend: &id::Backend, run: Run, end: End) {
--- a/crates/lentillift-entry/tests/bench/report.rs
+++ b/crates/lentillift-entry/tests/bench/report.rs
@@ -38,6 +38,8 @@
     pub runs: u64,
     /// Requests sent to backend servers with no time left.
     pub sent_late: u64,
+    /// Most runs at a time of one shard for the body that many queries share, hedges aside.
+    pub most_same: usize,
     /// Answers and refusals beyond the first for a query.
     pub doubled: u64,
     /// Answers whose hits are not those of the shards that they count as answered.
--- a/crates/lentillift-entry/tests/patterns.rs
+++ b/crates/lentillift-entry/tests/patterns.rs
@@ -86,6 +86,8 @@
         }
         let shards = 4 * world.caught.ended.len() as u64;
         assert!(world.caught.runs < shards / 2, "{}", world.caught.runs);
+        // One run of a shard at a time for each of the three entries.
+        assert!(world.caught.most_same <= 3, "{}", world.caught.most_same);
     };
 
     /// A server's disk fails: it takes ten times as long, then answers no more. Every query needs
--- a/crates/lentillift-policy/src/share.rs
+++ b/crates/lentillift-policy/src/share.rs
@@ -86,6 +86,16 @@
         self.rate(now, caller) / self.rate / self.share(caller)
     }
 
+    /// How many callers are remembered.
+    pub fn len(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Whether no caller is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.callers.is_empty()
+    }
+
     /// Adds everything up, and forgets callers that are gone.
     fn count(&mut self, now: Time) {
         self.round = now;
