--- a/crates/lentillift-node/src/gossip.rs
+++ b/crates/lentillift-node/src/gossip.rs
@@ -1,6 +1,6 @@
 //! What processes tell each other about hosts and values, as it stands on the wire.
 
-use crate::mirror::mirror;
+use crate::wire::mirror;
 use bincode::Decode;
 use bincode::Encode;
 use lentillift_fleet::member;
