--- a/crates/lentillift-node/src/wire.rs
+++ b/crates/lentillift-node/src/wire.rs
@@ -2,7 +2,9 @@
 //!
 //! These types are apart from those the program works with, so that neither binds the other.
 
+use crate::gossip;
 use crate::message;
+use crate::mirror::mirror;
 use crate::once::Parcel;
 use crate::once::Settled;
 use crate::once::Submit;
@@ -32,6 +34,8 @@
     Handover(Parcel),
     /// See [`message::Message::Taken`].
     Taken(u64),
+    /// See [`message::Message::Sync`].
+    Sync(gossip::Sync),
 }
 
 /// See [`sub::Sub`].
@@ -147,6 +151,7 @@
             message::Message::NotHome { request } => Self::NotHome(request),
             message::Message::Handover(parcel) => Self::Handover(parcel.into()),
             message::Message::Taken { number } => Self::Taken(number),
+            message::Message::Sync(message) => Self::Sync(message.into()),
         }
     }
 }
@@ -175,6 +180,7 @@
             Message::NotHome(request) => Self::NotHome { request },
             Message::Handover(parcel) => Self::Handover(parcel.into()),
             Message::Taken(number) => Self::Taken { number },
+            Message::Sync(message) => Self::Sync(message.try_into()?),
         })
     }
 }
@@ -308,29 +314,6 @@
     }
 }
 
-/// Writes the conversions, both ways, between two enums with the same unit variants.
-macro_rules! mirror {
-    ($domain:ty, $wire:ty, $($variant:ident),+) => {
-        impl From<$domain> for $wire {
-            fn from(value: $domain) -> Self {
-                match value {
-                    $(<$domain>::$variant => Self::$variant,)+
-                }
-            }
-        }
-
-        impl From<$wire> for $domain {
-            fn from(value: $wire) -> Self {
-                match value {
-                    $(<$wire>::$variant => Self::$variant,)+
-                }
-            }
-        }
-    };
-}
-
-pub(crate) use mirror;
-
 mirror!(sub::Desk, Desk, Query, Once);
 mirror!(outcome::Outcome, Outcome, Done, NotRun, Unknown);
 mirror!(
--- a/crates/lentillift-settings/src/policy.rs
+++ b/crates/lentillift-settings/src/policy.rs
@@ -4,6 +4,8 @@
 //! unless the configuration says otherwise. Shares are in percent, so that a configuration can be
 //! compared bit by bit.
 
+use crate::fault::Fault;
+use crate::shape::Shape;
 use lentillift_core::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -273,11 +275,11 @@
 
 impl Policy {
     /// All that makes the figures unfit to be in force.
-    pub fn faults(&self) -> Vec<String> {
+    pub fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
         let mut least = |field: &str, found: u64| {
             if found == 0 {
-                faults.push(format!("policy.{field}: found 0, at least 1 is right"));
+                faults.push(Fault::new(path(field), "0", "at least 1"));
             }
         };
         least("admission.window_ms", self.admission.window_ms);
@@ -290,7 +292,8 @@
         least("health.failures", self.health.failures.into());
         let mut share = |field: &str, found: u32| {
             if found > 100 {
-                faults.push(format!("policy.{field}: found {found}, 0 to 100 is right"));
+                let right = "a whole number from 0 to 100";
+                faults.push(Fault::new(path(field), found.to_string(), right));
             }
         };
         share("admission.refused_percent", self.admission.refused_percent);
@@ -307,3 +310,13 @@
 pub fn millis(figure: u64) -> Duration {
     Duration::from_millis(figure)
 }
+
+fn path(field: &str) -> impl Iterator<Item = &str> {
+    ["policy"].into_iter().chain(field.split('.'))
+}
+
+/// The shape of the figures: that of their defaults, of which any part may be left out.
+pub const SHAPE: Shape = Shape::Like(|| {
+    // The type holds nothing that JSON could not.
+    serde_json::to_value(Policy::default()).unwrap_or_default()
+});
