--- a/crates/lentillift-entry/src/core.rs
+++ b/crates/lentillift-entry/src/core.rs
@@ -209,7 +209,11 @@
     }
 
     fn refit(&mut self, view: Arc<View>) {
+        let same = view.generation > 0 && view.generation == self.view.generation;
         self.view = view;
+        if same {
+            return;
+        }
         let config = self.view.values.config.as_ref();
         self.policy = config.map_or_else(Policy::default, |config| config.policy.clone());
         let backends = &self.view.backends;
--- a/crates/lentillift-policy/src/cost.rs
+++ b/crates/lentillift-policy/src/cost.rs
@@ -42,8 +42,12 @@
     }
 
     /// Whether the requests of `caller` are long beside those of others.
+    ///
+    /// A caller without a reply is held to be so: its first long requests would else take every
+    /// slot before anybody knew.
     pub fn is_long(&self, caller: &str, factor: u32) -> bool {
         let usual = self.all.baseline();
-        usual > Duration::ZERO && self.of(caller) >= usual * factor
+        let known = self.callers.contains_key(caller) || self.callers.len() >= MOST_CALLERS;
+        usual > Duration::ZERO && (!known || self.of(caller) >= usual * factor)
     }
 }
--- a/crates/lentillift-settings/src/depth.rs
+++ b/crates/lentillift-settings/src/depth.rs
@@ -8,14 +8,12 @@
 use jsonc_parser::tokens::Token;
 
 /// Levels that JSON may have.
-const MOST: u32 = 64;
+pub const MOST: u32 = 32;
 
-/// Checks that `text` is not nested too deep for the parser.
+/// Where in `text` brackets nest deeper than [`MOST`], if they do.
 ///
-/// # Errors
-///
-/// Says how deep is right. What is no JSON is left to the parser to report.
-pub fn check(text: &str) -> Result<(), String> {
+/// What is no JSON is left to the parser to report.
+pub fn exceeded(text: &str) -> Option<usize> {
     let mut scanner = Scanner::new(text);
     let mut depth = 0_u32;
     while let Ok(Some(token)) = scanner.scan() {
@@ -25,8 +23,8 @@
             _ => {}
         }
         if depth > MOST {
-            return Err(format!("nested more than {MOST} levels deep"));
+            return Some(scanner.token_start());
         }
     }
-    Ok(())
+    None
 }
--- a/crates/lentillift-settings/src/roster.rs
+++ b/crates/lentillift-settings/src/roster.rs
@@ -1,6 +1,10 @@
 //! The published list of hosts that run the system.
 
+use crate::placement::SERVER;
 use crate::placement::State;
+use crate::review;
+use crate::shape::Shape;
+use crate::shape::required;
 use lentillift_core::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -26,3 +30,17 @@
     /// The hosts.
     pub hosts: BTreeMap<id::Host, Entry>,
 }
+
+impl Roster {
+    /// All that makes the list unfit to be in force.
+    pub fn faults(&self) -> Vec<String> {
+        let faults = review::roster(self).into_iter();
+        faults.map(|fault| fault.to_string()).collect()
+    }
+}
+
+/// The shape of a list of hosts.
+pub const SHAPE: Shape = Shape::Record(&[
+    required("revision", review::REVISION),
+    required("hosts", Shape::Map(&SERVER)),
+]);
--- a/crates/lentilliftd/src/lib.rs
+++ b/crates/lentilliftd/src/lib.rs
@@ -6,8 +6,9 @@
 
 pub mod daemon;
 pub mod entry;
+pub mod fleet;
 pub mod once;
 pub mod owner;
 pub mod peers;
+mod report;
 mod trace;
-pub mod view;
--- a/crates/lentilliftd/src/owner.rs
+++ b/crates/lentilliftd/src/owner.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::until;
 use crate::peers::Peers;
+use crate::report;
 use lentillift_backend::client;
 use lentillift_backend::client::Client;
 use lentillift_core::id;
@@ -54,6 +55,7 @@
 /// The task that owns backend servers.
 #[derive(Debug)]
 pub struct Task {
+    host: id::Host,
     owner: Owner,
     view: Arc<View>,
     clients: HashMap<id::Backend, (SocketAddr, Client)>,
@@ -73,7 +75,8 @@
         mail: mpsc::Sender<Mail>,
     ) -> Self {
         Self {
-            owner: Owner::new(host),
+            owner: Owner::new(host.clone()),
+            host,
             view: Arc::default(),
             clients: HashMap::new(),
             clock,
@@ -89,9 +92,15 @@
         mut mail: mpsc::Receiver<Mail>,
         mut view: watch::Receiver<Arc<View>>,
     ) {
+        let mut reports = report::times();
         loop {
             let wake = self.owner.next_wake();
             let event = tokio::select! {
+                _ = reports.tick() => {
+                    let now = self.clock.now();
+                    report::owner(&self.board, now, &self.view, &self.host, &self.owner);
+                    continue;
+                }
                 received = mail.recv() => match received {
                     Some(received) => open(received),
                     None => return,
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::entry;
+use crate::fleet;
 use crate::once;
 use crate::owner;
 
@@ -69,6 +70,11 @@
         }
     }
 
+    /// Gives up the link to a process that is held to be over.
+    pub async fn lose(&self, peer: Peer) {
+        self.hub.lose(peer).await;
+    }
+
     fn address(&self, host: &id::Host) -> Option<std::net::SocketAddr> {
         Some(self.view.borrow().hosts.get(host)?.address)
     }
@@ -83,6 +89,8 @@
     pub once: mpsc::Sender<once::Mail>,
     /// The task that owns backend servers.
     pub owner: mpsc::Sender<owner::Mail>,
+    /// The task that takes part in the fleet.
+    pub fleet: mpsc::Sender<fleet::Mail>,
 }
 
 /// Passes on what comes from other processes until all senders are gone.
@@ -140,6 +148,9 @@
             }
             Message::Handover(parcel) => self.once(once::Event::Handover { from, parcel }).await,
             Message::Taken { number } => self.once(once::Event::Taken { number }).await,
+            Message::Sync(message) => {
+                let _ = self.fleet.send(fleet::Mail::Message(from, message)).await;
+            }
         }
     }
 
@@ -164,6 +175,8 @@
             | Message::Settled { .. }
             | Message::NotHome { .. }
             | Message::Taken { .. } => {}
+            // Whoever needs it asks again.
+            Message::Sync(_) => {}
         }
     }
 
