--- a/crates/lentillift-entry/src/core.rs
+++ b/crates/lentillift-entry/src/core.rs
@@ -7,6 +7,8 @@
 use crate::answer::Answer;
 use crate::answer::Ask;
 use crate::flights::Flights;
+use crate::kept;
+use crate::kept::Kept;
 use crate::plan;
 use crate::plan::Gone;
 use crate::query::Query;
@@ -136,6 +138,7 @@
     queries: HashMap<id::Request, Query>,
     /// The queries that further callers can share.
     runs: Runs,
+    kept: Kept,
     flights: Flights,
     /// Deadlines of the members.
     deadlines: BTreeSet<(Time, id::Request)>,
@@ -164,6 +167,7 @@
             members: HashMap::new(),
             queries: HashMap::new(),
             runs: Runs::default(),
+            kept: Kept::new(kept::MOST_BYTES),
             flights: Flights::default(),
             deadlines: BTreeSet::new(),
             loads: Loads::default(),
@@ -181,6 +185,12 @@
         self
     }
 
+    /// Keeps up to `most` bytes of answers.
+    pub fn keeping(mut self, most: usize) -> Self {
+        self.kept = Kept::new(most);
+        self
+    }
+
     /// Takes in an event and says what to do about it.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         match event {
@@ -216,6 +226,11 @@
         }
         let config = self.view.values.config.as_ref();
         self.policy = config.map_or_else(Policy::default, |config| config.policy.clone());
+        let placements = &self.view.values.placements;
+        self.kept.retain(|service, snapshot| {
+            let placement = placements.get(service);
+            placement.is_some_and(|p| p.maps.iter().any(|map| map.snapshot == snapshot))
+        });
         let backends = &self.view.backends;
         self.loads.retain(|backend| backends.contains_key(backend));
         self.paces
@@ -229,6 +244,13 @@
         };
         let key = key(&query);
         let coalescing = &self.policy.coalescing;
+        if coalescing.on
+            && let Some(answer) = self.kept.get(&key, ask.limit)
+        {
+            self.counts.add("lentillift_kept_answers_total");
+            let answer = answer.clone();
+            return vec![Effect::Answer { request, answer }];
+        }
         if let coalescing::Next::Join(run) = self.runs.next(coalescing, &key) {
             self.counts.add("lentillift_coalesced_total");
             self.enter(request, run, ask, query.deadline, query.rank);
--- a/crates/lentillift-entry/src/core/settle.rs
+++ b/crates/lentillift-entry/src/core/settle.rs
@@ -187,6 +187,7 @@
         };
         let least = member.ask.least_coverage;
         let answer = query.answer(member.ask.limit);
+        self.kept.insert(key(query), member.ask.limit, &answer);
         let effect = if !answer.coverage.accepts(least) {
             let detail = format!("reached {}, asked for at least {least}", answer.coverage);
             let mut refusal = Refusal::new(Cause::Coverage, detail).outcome(query.outcome());
--- a/crates/lentillift-entry/src/lib.rs
+++ b/crates/lentillift-entry/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod answer;
 pub mod core;
 pub mod flights;
+pub mod kept;
 pub mod plan;
 pub mod query;
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -1,7 +1,7 @@
 //! What each series means, for Prometheus' `# HELP` lines.
 
 /// Series and their meanings.
-const HELP: [(&str, &str); 38] = [
+const HELP: [(&str, &str); 40] = [
     (
         "lentillift_actions_total",
         "Requests that may run at most once, by outcome.",
@@ -83,6 +83,10 @@
         "Second sub-requests sent for slow shards.",
     ),
     ("lentillift_hedges_won_total", "Hedges that replied first."),
+    (
+        "lentillift_kept_answers_total",
+        "Queries that were given an answer kept from before.",
+    ),
     (
         "lentillift_owner_misrouted_total",
         "Sub-requests for a backend server that is not owned here or is out.",
@@ -140,6 +144,10 @@
         "lentillift_shards_answered_total",
         "Shards whose reply is in an answer.",
     ),
+    (
+        "lentillift_shards_missing_total",
+        "Shards missing from answers, by reason.",
+    ),
     (
         "lentillift_shards_total",
         "Shards that answered queries were to cover.",
--- a/crates/lentillift/src/demo/mod.rs
+++ b/crates/lentillift/src/demo/mod.rs
@@ -57,7 +57,7 @@
         .into();
     for number in 0..QUERIES {
         let entry = fleet.callers[number % fleet.callers.len()];
-        account.query(&agent, entry)?;
+        account.query(&agent, entry, number)?;
     }
     account.report_queries();
     account.action(&agent, &fleet)?;
@@ -79,13 +79,14 @@
 }
 
 impl Account {
-    fn query(&mut self, agent: &Agent, entry: SocketAddr) -> anyhow::Result<()> {
+    fn query(&mut self, agent: &Agent, entry: SocketAddr, number: usize) -> anyhow::Result<()> {
         let started = Instant::now();
         let mut response = agent
             .post(format!("http://{entry}/v1/services/{SEARCH}/query"))
             .header("x-caller", CALLER)
             .header("x-allowance-ms", ALLOWANCE_MS.to_string())
-            .send(r#"{"q":"Amina","limit":10}"#)?;
+            // Each asks for something else, or an answer that was kept would do.
+            .send(format!(r#"{{"q":"Amina {number}","limit":10}}"#))?;
         self.latencies.push(started.elapsed());
         let status = response.status();
         let body = response.body_mut().read_to_string()?;
--- a/crates/lentilliftd/src/report.rs
+++ b/crates/lentilliftd/src/report.rs
@@ -70,6 +70,11 @@
     board.add("lentillift_shards_total", &labels, shards);
     let answered = u64::from(coverage.answered);
     board.add("lentillift_shards_answered_total", &labels, answered);
+    for missing in &coverage.missing {
+        let reason = missing.reason.to_string();
+        let labels = [("service", &**service), ("reason", &*reason)];
+        board.add("lentillift_shards_missing_total", &labels, 1);
+    }
     board.answered(service, latency, coverage.share());
 }
 
