Put unknown outcomes on the time line, and keep what began an outage

Cause: a caller was told that its request may or may not have run, and no operator could find its id. In an outage one kind of event could push out all others.

Change: an event with service and id for each unknown outcome; when the time line is full, the oldest event of the most frequent kind goes. Events of backend servers name their service.

--- a/crates/lentillift-operator/src/event.rs
+++ b/crates/lentillift-operator/src/event.rs
@@ -4,10 +4,11 @@
 use lentillift_core::time::Time;
 use serde::Deserialize;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Events that are kept at most; the oldest make room.
+/// Events that are kept at most; the oldest of the most frequent kind make room.
 const MOST: usize = 4096;
 
 /// A change of state worth telling an operator.
@@ -93,6 +94,7 @@
 #[derive(Debug, Default)]
 pub struct Timeline {
     events: VecDeque<Event>,
+    kinds: BTreeMap<String, usize>,
     next: u64,
 }
 
@@ -100,9 +102,10 @@
     /// Appends an event; `wall` is the time since 1970.
     pub fn push(&mut self, now: Time, wall: Duration, note: Note) {
         if self.events.len() == MOST {
-            self.events.pop_front();
+            self.make_room();
         }
         self.next += 1;
+        *self.kinds.entry(note.kind.clone()).or_default() += 1;
         self.events.push_back(Event {
             number: self.next,
             at_us: now.as_micros() as u64,
@@ -111,6 +114,23 @@
         });
     }
 
+    /// Drops the oldest event of the kind that has most.
+    ///
+    /// In an outage one kind may come a thousand times a second. If the oldest went whatever its
+    /// kind, the change that began the outage would be gone when an operator looks.
+    fn make_room(&mut self) {
+        let most = self.kinds.iter_mut().max_by_key(|(_, count)| **count);
+        let Some((kind, count)) = most else {
+            return;
+        };
+        *count -= 1;
+        let at = self
+            .events
+            .iter()
+            .position(|event| event.note.kind == *kind);
+        self.events.remove(at.unwrap_or_default());
+    }
+
     /// The events from number `since` on.
     pub fn since(&self, since: u64) -> impl Iterator<Item = &Event> {
         self.events
--- a/crates/lentillift-operator/tests/series.rs
+++ b/crates/lentillift-operator/tests/series.rs
@@ -1,5 +1,7 @@
 //! Series as Prometheus reads them, and hours and days as operators read them.
 
+use lentillift_operator::event::Note;
+use lentillift_operator::event::Timeline;
 use lentillift_operator::metric::Metrics;
 use lentillift_operator::trend::Trend;
 use std::time::Duration;
@@ -106,6 +108,31 @@
     assert_eq!(median(&metrics, 800 * SECOND), 0.0);
 }
 
+/// A backend server starts to fail, and each request to it ends with an event. The event that began
+/// it all must still be there when an operator looks an hour later.
+#[test]
+fn one_kind_does_not_push_out_the_others() {
+    let mut timeline = Timeline::default();
+    timeline.push(
+        SECOND,
+        SECOND,
+        Note::new("in force", "config", "revision 7"),
+    );
+    for number in 0..10_000 {
+        let note = Note::new("unknown outcome", "submission", "").request(number);
+        timeline.push(SECOND, SECOND, note);
+    }
+    let events: Vec<_> = timeline.since(0).collect();
+    assert_eq!(events.len(), 4096);
+    assert_eq!(events[0].note.kind, "in force");
+    let last = events.last().expect("event");
+    assert_eq!(
+        (last.number, last.note.request.as_deref()),
+        (10_001, Some("9999"))
+    );
+    assert!(events.windows(2).all(|two| two[0].number < two[1].number));
+}
+
 /// Each day the search covers a little less and takes a little longer. No moment looks wrong;
 /// only the row of days shows it.
 #[test]
--- a/crates/lentillift/src/command/timeline.rs
+++ b/crates/lentillift/src/command/timeline.rs
@@ -109,7 +109,8 @@
             let _ = write!(line, " {name}={value}");
         }
     }
-    line.replace(['\n', '\r'], " ") + "\n"
+    // Some texts come from other hosts; a terminal would obey control characters in them.
+    line.replace(char::is_control, " ") + "\n"
 }
 
 /// The time of day in UTC.
--- a/crates/lentilliftd/src/once.rs
+++ b/crates/lentilliftd/src/once.rs
@@ -1,8 +1,10 @@
 //! The task that serves requests that may run at most once.
 
 use crate::peers::Peers;
+use crate::report;
 use lentillift_caller::call::Call;
 use lentillift_core::id;
+use lentillift_core::outcome::Outcome;
 use lentillift_core::refusal::Refusal;
 use lentillift_core::time::Clock;
 use lentillift_fleet::view::View;
@@ -37,12 +39,20 @@
     },
 }
 
+/// A caller that waits for the outcome of its request.
+#[derive(Debug)]
+struct Waiting {
+    reply: oneshot::Sender<Settled>,
+    service: id::Service,
+    key: String,
+}
+
 /// The task that serves requests that may run at most once.
 #[derive(Debug)]
 pub struct Task {
     once: Traced<Once<StdRng>>,
     issues: HashMap<id::Request, oneshot::Sender<Result<String, Refusal>>>,
-    calls: HashMap<id::Request, oneshot::Sender<Settled>>,
+    calls: HashMap<id::Request, Waiting>,
     left: Vec<oneshot::Sender<()>>,
     next_issue: id::Request,
     clock: Clock,
@@ -112,7 +122,12 @@
                 submit,
                 reply,
             }) => {
-                self.calls.insert(request, reply);
+                let waiting = Waiting {
+                    reply,
+                    service: submit.service.clone(),
+                    key: submit.key.to_string(),
+                };
+                self.calls.insert(request, waiting);
                 Some(Event::Call { request, submit })
             }
             Mail::Call(Call::Query { .. } | Call::Gone { .. }) => None,
@@ -168,8 +183,12 @@
         let outcome = format!("{:?}", settled.outcome);
         let labels = [("outcome", &*outcome)];
         self.board.add("lentillift_actions_total", &labels, 1);
-        if let Some(reply) = self.calls.remove(&request) {
-            let _ = reply.send(settled);
+        if let Some(waiting) = self.calls.remove(&request) {
+            if settled.outcome == Outcome::Unknown {
+                report::unknown(&self.board, &waiting.service, &waiting.key);
+            }
+            // The caller may have gone away meanwhile.
+            let _ = waiting.reply.send(settled);
         }
     }
 
--- a/crates/lentilliftd/src/owner.rs
+++ b/crates/lentilliftd/src/owner.rs
@@ -148,7 +148,7 @@
                 self.peers.send(&to, message).await;
             }
             Effect::Note { backend, change } => {
-                self.board.event("backend", &backend, change.to_string());
+                report::backend(&self.board, &self.view, &backend, &change.to_string());
             }
         }
     }
--- a/crates/lentilliftd/src/report.rs
+++ b/crates/lentilliftd/src/report.rs
@@ -8,6 +8,7 @@
 use lentillift_entry::answer::Ask;
 use lentillift_fleet::view::View;
 use lentillift_operator::board::Board;
+use lentillift_operator::event::Note;
 use lentillift_operator::status;
 use lentillift_owner::core::Owner;
 use std::sync::Arc;
@@ -85,6 +86,24 @@
     board.refused(service);
 }
 
+/// Tells of a request that may or may not have run.
+///
+/// Somebody has to look it up at the backend server, and needs its id for that.
+pub(crate) fn unknown(board: &Board, service: &id::Service, key: &str) {
+    let detail = "may or may not have run; look for its id at the backend servers";
+    let note = Note::new("unknown outcome", service, detail);
+    board.note(note.service(service).request(key));
+}
+
+/// Tells of a change of a backend server.
+pub(crate) fn backend(board: &Board, view: &View, backend: &id::Backend, change: &str) {
+    let note = Note::new("backend", backend, change).backend(backend);
+    board.note(match view.backends.get(backend) {
+        Some(known) => note.service(&known.service),
+        None => note,
+    });
+}
+
 fn name(cause: Cause) -> &'static str {
     match cause {
         Cause::UnknownService => "unknown-service",
