Sum up large fleets, and take names as the platform gives them

Cause: 760 lines of status hide the one that matters; names were held to lower case, though platforms call their failure domains and hosts what they like.

Change: above 24 processes, a line for each failure domain and one for each process that isn't as the others. Names may have capitals and colons.

--- a/crates/lentillift-settings/src/shape.rs
+++ b/crates/lentillift-settings/src/shape.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 
 /// Longest name, in bytes.
-const NAME: usize = 64;
+const NAME: usize = 128;
 
 /// What a value must look like.
 #[derive(Debug, Clone, Copy)]
@@ -116,15 +116,15 @@
 }
 
 const NAME_RULE: &str =
-    "a name of 1 to 64 lower-case letters, digits and - . _ that starts with a letter or digit";
+    "a name of 1 to 128 letters, digits and - . _ : that starts with a letter or digit";
 
+/// Names stand in paths of requests, in keys of values and in labels of series.
 fn is_name(text: &str) -> bool {
-    let plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit();
     text.len() <= NAME
-        && text.starts_with(plain)
+        && text.starts_with(|c: char| c.is_ascii_alphanumeric())
         && text
             .chars()
-            .all(|c| plain(c) || matches!(c, '-' | '.' | '_'))
+            .all(|c| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_' | ':'))
 }
 
 fn is_within(number: &str, least: u64, most: u64) -> bool {
--- a/crates/lentillift/src/command/status.rs
+++ b/crates/lentillift/src/command/status.rs
@@ -12,7 +12,9 @@
 use getopts::Matches;
 use getopts::Options;
 use lentillift::fleet::Fleet;
+use lentillift::fleet::Node;
 use lentillift_operator::status::Status;
+use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -25,6 +27,9 @@
 /// Longest wait for a revision when the command line does not say, in seconds.
 const WAIT_S: u64 = 30;
 
+/// Processes up to which each has a line of its own.
+const FEW: usize = 24;
+
 /// The command.
 pub(crate) const COMMAND: Command = Command {
     name: "status",
@@ -33,7 +38,9 @@
     about:
         "Asks the operators' port of each process and shows the revision in force on each, failure
 domains in and out, backend servers owned, cold and queued, and coverage, p99 and
-refusals of each service today, with what declines over the days. A process keeps 62
+refusals of each service today, with what declines over the days. With more than 24
+processes there is a line for each failure domain, and one for each process that isn't
+ready, has another revision, or sees fewer hosts than the others. A process keeps 62
 days at most and forgets them when it ends; for longer times keep /metrics elsewhere.",
     examples: &[
         (
@@ -61,6 +68,7 @@
         "N",
     );
     options.optopt("", "timeout", "longest wait, in seconds (30)", "S");
+    options.optflag("", "nodes", "show each process also when there are many");
     options.optopt("", "days", "show the last N days of each service", "N");
 }
 
@@ -77,7 +85,8 @@
     if matches.opt_present("json") {
         show_json(&serde_json::json!({ "fleet": fleet, "unreachable": lost }))?;
     } else {
-        show(&text(&fleet, &lost, days));
+        let each = matches.opt_present("nodes") || fleet.nodes.len() <= FEW;
+        show(&text(&fleet, &lost, days, each));
     }
     Ok(match lost.is_empty() {
         true => Exit::Done,
@@ -152,8 +161,11 @@
     }
 }
 
-fn text(fleet: &Fleet, lost: &[(SocketAddr, String)], days: usize) -> String {
-    let mut text = nodes(fleet);
+fn text(fleet: &Fleet, lost: &[(SocketAddr, String)], days: usize, each: bool) -> String {
+    let mut text = match each {
+        true => nodes(fleet.nodes.iter()),
+        false => domains(fleet) + "\n" + &nodes(fleet.unusual()),
+    };
     for (address, error) in lost {
         let line = format!("{address}: not reached: {error}");
         let _ = writeln!(text, "{}", alarm(&line));
@@ -172,7 +184,43 @@
     text
 }
 
-fn nodes(fleet: &Fleet) -> String {
+/// A line for each failure domain, where there are too many processes to look at.
+fn domains(fleet: &Fleet) -> String {
+    let mut table = Table::new(&[
+        "DOMAIN",
+        "HOSTS",
+        "READY",
+        "REVISIONS",
+        "OWNS",
+        "COLD",
+        "IN FLIGHT",
+        "QUEUE",
+        "WAITING",
+    ]);
+    let names: BTreeSet<&str> = fleet.nodes.iter().map(|node| &*node.domain).collect();
+    for name in names {
+        let nodes = || fleet.nodes.iter().filter(|node| &*node.domain == name);
+        let revisions: BTreeSet<u64> = nodes().map(|node| node.revision).collect();
+        let revisions: Vec<String> = revisions.iter().map(u64::to_string).collect();
+        table.push(vec![
+            name.to_owned(),
+            nodes().count().to_string(),
+            nodes().filter(|node| node.ready).count().to_string(),
+            revisions.join(","),
+            nodes().map(|node| node.owned).sum::<usize>().to_string(),
+            nodes().map(|node| node.cold).sum::<usize>().to_string(),
+            nodes().map(|node| node.in_flight).sum::<u32>().to_string(),
+            nodes().map(|node| node.queue).sum::<usize>().to_string(),
+            nodes().map(|node| node.waiting).sum::<usize>().to_string(),
+        ]);
+    }
+    table.text()
+}
+
+fn nodes<'a, I>(nodes: I) -> String
+where
+    I: Iterator<Item = &'a Node>,
+{
     let mut table = Table::new(&[
         "HOST",
         "DOMAIN",
@@ -186,7 +234,7 @@
         "QUEUE",
         "WAITING",
     ]);
-    for node in &fleet.nodes {
+    for node in nodes {
         table.push(vec![
             node.host.to_string(),
             node.domain.to_string(),
--- a/crates/lentillift/src/fleet.rs
+++ b/crates/lentillift/src/fleet.rs
@@ -93,6 +93,15 @@
         fleet.services = services(statuses);
         fleet
     }
+
+    /// The processes that are not as the others: not ready, behind, or seeing fewer hosts.
+    pub fn unusual(&self) -> impl Iterator<Item = &Node> {
+        let newest = self.revisions.keys().next_back().copied();
+        let most = self.nodes.iter().map(|node| node.alive).max();
+        self.nodes.iter().filter(move |node| {
+            !node.ready || Some(node.revision) != newest || Some(node.alive) != most
+        })
+    }
 }
 
 /// A section of a process's status; empty if it has none yet.
--- a/crates/lentillift/tests/fleet.rs
+++ b/crates/lentillift/tests/fleet.rs
@@ -1,12 +1,15 @@
 //! What the tool works out from many processes: one order of events, and slow declines.
 
+use lentillift::fleet::Fleet;
 use lentillift::fleet::declines;
 use lentillift::fleet::merged;
 use lentillift::merge;
 use lentillift_operator::event::Event;
 use lentillift_operator::event::Note;
 use lentillift_operator::event::Page;
+use lentillift_operator::status::Status;
 use lentillift_operator::trend::Span;
+use std::collections::BTreeMap;
 
 /// An event: its clock, its detail, what was handed over, and who sent it.
 type Row = (u64, &'static str, &'static str, &'static str);
@@ -120,3 +123,42 @@
     assert!((merged[0].coverage - 0.9).abs() < 1e-9);
     assert_eq!(merged[0].p99_ms, 90.0);
 }
+
+fn status(host: &str, revision: u64, alive: usize, ready: bool) -> Status {
+    let alive: Vec<String> = (0..alive).map(|number| format!("h-{number}")).collect();
+    let view = serde_json::json!({
+        "domain": "d1",
+        "config": revision,
+        "hosts": 1,
+        "placements": {},
+        "domains": { "d1": true, "d2": revision < 3 },
+        "hosts_out": [],
+        "alive": alive,
+    });
+    Status {
+        host: host.into(),
+        incarnation: 1,
+        ready,
+        uptime_s: 1,
+        trend: BTreeMap::new(),
+        sections: [("view".to_owned(), view)].into(),
+        ages_ms: BTreeMap::new(),
+    }
+}
+
+/// One host of many does not hear of a new revision, one sees only a part of the fleet, and one
+/// is not ready. Among hundreds of lines nobody would find them.
+#[test]
+fn unusual_processes_stand_out() {
+    let mut statuses: Vec<Status> = (0..100)
+        .map(|n| status(&format!("h-{n:02}"), 3, 100, true))
+        .collect();
+    statuses[7] = status("h-07", 2, 100, true);
+    statuses[30] = status("h-30", 3, 40, true);
+    statuses[99] = status("h-99", 3, 100, false);
+    let fleet = Fleet::new(&statuses);
+    let hosts: Vec<&str> = fleet.unusual().map(|node| &*node.host).collect();
+    assert_eq!(hosts, ["h-07", "h-30", "h-99"]);
+    assert_eq!(fleet.revisions[&2].len(), 1);
+    assert_eq!(fleet.domains.get("d2"), Some(&false));
+}
