--- a/crates/lentillift-once/tests/explore.rs
+++ b/crates/lentillift-once/tests/explore/world.rs
@@ -1,8 +1,4 @@
-//! Callers, homes, owners and a counting backend server under every mix of faults.
-//!
-//! The cores are the real ones. The network between them delays, cuts and loses; processes pause,
-//! die and come back; each keeps a view of its own, which may be old. What a caller notices of a
-//! breach is a notice that was filed twice, or one that it was told had not been filed.
+//! Processes, the network between them, owners and callers, under faults.
 
 use lentillift_core::id;
 use lentillift_core::outcome::Outcome;
@@ -18,8 +14,6 @@
 use lentillift_once::home;
 use lentillift_once::submit::Submit;
 use lentillift_settings::jsonc;
-use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::collections::BTreeMap;
@@ -28,12 +22,12 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
-const HOSTS: usize = 3;
+pub(crate) const HOSTS: usize = 3;
 const BODY: &[u8] = b"{}";
 
 /// What goes wrong, or is asked, next.
 #[derive(Debug, Clone)]
-enum Step {
+pub(crate) enum Step {
     Issue(usize),
     /// A caller sends the id with that position, again or for the first time.
     Send(usize, usize),
@@ -55,7 +49,7 @@
 
 /// What becomes of a request that an owner has sent.
 #[derive(Debug, Clone, Copy)]
-enum Fate {
+pub(crate) enum Fate {
     /// It ran and the reply came.
     Reply,
     /// It ran and the reply was lost, or the connection broke during or after the write.
@@ -69,7 +63,7 @@
 }
 
 #[derive(Debug, Clone)]
-struct Mail {
+pub(crate) struct Mail {
     from: usize,
     to: usize,
     /// Incarnation of the sender, for what returns to it.
@@ -91,12 +85,12 @@
 }
 
 #[derive(Default)]
-struct World {
+pub(crate) struct World {
     now: Time,
     processes: Vec<Process>,
-    mail: Vec<Mail>,
+    pub(crate) mail: Vec<Mail>,
     /// What owners hold: the owner, the host that sent it, the sub-request.
-    held: Vec<(usize, usize, sub::Sub)>,
+    pub(crate) held: Vec<(usize, usize, sub::Sub)>,
     ids: Vec<Id>,
     /// Which id each call of a caller was about.
     calls: HashMap<(usize, u64), usize>,
@@ -104,7 +98,7 @@
     ran: BTreeMap<String, u32>,
     /// Ids of which a caller was told for good that they did not run.
     not_run: BTreeMap<String, u32>,
-    done: u32,
+    pub(crate) done: u32,
     starts: u64,
 }
 
@@ -150,7 +144,7 @@
 }
 
 impl World {
-    fn start() -> Self {
+    pub(crate) fn start() -> Self {
         let mut world = Self::default();
         for host in 0..HOSTS {
             let process = world.process(host);
@@ -300,7 +294,7 @@
         self.tell(from, Event::Result { id, result });
     }
 
-    fn kill(&mut self, host: usize) {
+    pub(crate) fn kill(&mut self, host: usize) {
         // Its callers are cut off; what it held as an owner may or may not have been sent.
         self.calls.retain(|(at, _), _| *at != host);
         self.mail.retain(|mail| mail.to != host);
@@ -311,7 +305,7 @@
         }
     }
 
-    fn step(&mut self, step: Step) {
+    pub(crate) fn step(&mut self, step: Step) {
         match step {
             Step::Issue(host) => {
                 let (service, caller) = ("file".into(), "x".into());
@@ -381,7 +375,7 @@
     }
 
     /// Lets everything that is still on its way arrive, and all of it run if it may.
-    fn finish(&mut self) {
+    pub(crate) fn finish(&mut self) {
         for host in 0..HOSTS {
             self.processes[host].paused = false;
         }
@@ -396,7 +390,7 @@
         self.step(Step::Wait(2000));
     }
 
-    fn check(&self) {
+    pub(crate) fn check(&self) {
         for (key, runs) in &self.ran {
             assert_eq!(*runs, 1, "{key} ran {runs} times");
             assert!(
@@ -411,94 +405,3 @@
         );
     }
 }
-
-fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let fate = prop_oneof![
-        3 => Just(Fate::Reply),
-        1 => Just(Fate::Lost),
-        1 => Just(Fate::Cut),
-        2 => Just(Fate::Refused),
-        1 => Just(Fate::Dropped),
-    ];
-    let step = prop_oneof![
-        3 => (0..HOSTS).prop_map(Step::Issue),
-        8 => (0..HOSTS, 0usize..4).prop_map(|(host, id)| Step::Send(host, id)),
-        14 => (0usize..6).prop_map(Step::Deliver),
-        2 => (0usize..6).prop_map(Step::Lose),
-        2 => (0usize..6).prop_map(Step::Return),
-        6 => (0usize..3, fate).prop_map(|(at, fate)| Step::Run(at, fate)),
-        3 => (1u64..400).prop_map(Step::Wait),
-        1 => (0..HOSTS, any::<bool>()).prop_map(|(host, paused)| Step::Pause(host, paused)),
-        1 => (0..HOSTS).prop_map(Step::Kill),
-        1 => (0..HOSTS).prop_map(Step::Leave),
-        2 => (0..HOSTS, 0..HOSTS + 2).prop_map(|(host, which)| Step::View(host, which)),
-    ];
-    prop::collection::vec(step, 10..120)
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 1000,
-        rng_seed: RngSeed::Fixed(6),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
-
-    /// Whatever happens, no id runs twice, and one that its caller was told had not run never runs.
-    #[test]
-    fn no_id_runs_twice_and_not_run_is_final(steps in steps()) {
-        let mut world = World::start();
-        for step in steps {
-            world.step(step);
-        }
-        world.finish();
-        world.check();
-    }
-}
-
-/// A process dies and is started again at the same host while a backend server still works on a
-/// request of its. The late result comes to the new process, whose caller must not be told that
-/// its own notice was filed.
-#[test]
-fn a_late_result_is_for_the_process_before() {
-    let mut world = World::start();
-    let file = |world: &mut World, id| {
-        world.step(Step::Issue(0));
-        world.step(Step::Send(0, id));
-        world.step(Step::Deliver(0));
-    };
-    file(&mut world, 0);
-    world.kill(0);
-    file(&mut world, 1);
-    assert_eq!(world.held.len(), 2);
-    world.step(Step::Run(0, Fate::Reply));
-    assert_eq!(world.done, 0);
-    world.step(Step::Run(0, Fate::Reply));
-    assert_eq!(world.done, 1);
-    world.finish();
-    world.check();
-}
-
-/// A host is replaced after a notice was filed by it. Its caller, who did not get the reply, asks
-/// another host with the same id and must learn that the notice was filed.
-#[test]
-fn a_home_that_leaves_hands_over_what_it_knows() {
-    let mut world = World::start();
-    world.step(Step::Issue(0));
-    world.step(Step::Send(0, 0));
-    world.step(Step::Deliver(0));
-    world.step(Step::Run(0, Fate::Reply));
-    world.step(Step::Leave(0));
-    while !world.mail.is_empty() {
-        world.step(Step::Deliver(0));
-    }
-    world.kill(0);
-    for host in 1..HOSTS {
-        // The view without the first host.
-        world.step(Step::View(host, 1));
-        world.step(Step::Send(host, 0));
-    }
-    world.finish();
-    world.check();
-    assert_eq!(world.done, 3);
-}
--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -33,6 +33,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 use tokio::net::TcpListener;
@@ -48,6 +49,9 @@
 /// Ports that are tried at most when the system chooses.
 const MOST_TRIES: u32 = 16;
 
+/// Time for requests that were passed here from elsewhere, before their ids are handed over.
+const IDS: Duration = Duration::from_secs(2);
+
 /// The listening sockets of a process.
 #[derive(Debug)]
 pub struct Sockets {
@@ -107,6 +111,7 @@
     stop: watch::Sender<bool>,
     callers: JoinHandle<()>,
     fleet: mpsc::Sender<fleet::Mail>,
+    once: mpsc::Sender<once::Mail>,
     /// What the process tells its operators.
     pub board: Board,
     /// What the process holds to be true of the fleet.
@@ -197,7 +202,7 @@
         tokio::spawn(operators);
 
         let (calls, for_desks) = mpsc::channel(QUEUE);
-        tokio::spawn(pass_calls(for_desks, entry_mail, once_mail));
+        tokio::spawn(pass_calls(for_desks, entry_mail, once_mail.clone()));
         let first = rng(incarnation).random::<id::Request>() >> 1;
         let callers =
             lentillift_caller::server::serve(sockets.caller, options, stopped, calls, first);
@@ -205,6 +210,7 @@
             stop,
             callers: tokio::spawn(callers),
             fleet: fleet_mail,
+            once: once_mail,
             board,
             view: seen,
         }
@@ -215,6 +221,11 @@
         let _ = self.fleet.send(fleet::Mail::Leave).await;
         self.stop.send_replace(true);
         let _ = self.callers.await;
+        // After the callers, who would else be told to take a new id.
+        let (left, handed) = oneshot::channel();
+        let within = IDS;
+        let _ = self.once.send(once::Mail::Leave { within, left }).await;
+        let _ = handed.await;
         let (told, heard) = oneshot::channel();
         let _ = self.fleet.send(fleet::Mail::End(told)).await;
         let _ = heard.await;
--- a/crates/lentilliftd/tests/truth.rs
+++ b/crates/lentilliftd/tests/truth.rs
@@ -248,3 +248,24 @@
     wait(|| cancelled() > 0);
     std::fs::remove_dir_all(&fleet.traces).expect("remove");
 }
+
+/// A host is replaced after a notice was filed by it, and the caller never got the reply. By another
+/// host and with the same id it must learn that the notice was filed, and not file it again.
+#[test]
+fn a_host_that_ends_hands_over_the_outcomes_it_remembers() {
+    let mut fleet = Fleet::start("hand-over", &Behavior::default());
+    wait(|| fleet.post(0, "names/query", "", "{}").0 == "done");
+    let (_, issued) = fleet.post(0, "filing/ids", "", "");
+    let key = issued["id"].as_str().expect("an id").to_owned();
+    let notice = r#"{"notice":"Amina"}"#;
+    assert_eq!(fleet.post(0, "filing/action", &key, notice).0, "done");
+    let first = fleet.daemons.remove(0);
+    fleet.runtime.block_on(first.stop());
+    assert_eq!(fleet.post(1, "filing/action", &key, notice).0, "done");
+    let ran = fleet
+        .backends
+        .values()
+        .map(|b| b.count().actions.get(&key).copied().unwrap_or(0));
+    assert_eq!(ran.sum::<u64>(), 1);
+    fleet.stop();
+}
