--- a/crates/lentillift-standin/src/world.rs
+++ b/crates/lentillift-standin/src/world.rs
@@ -29,8 +29,11 @@
     /// Shards of its data; a service of actions has none.
     #[serde(default)]
     pub shards: u32,
-    /// Backend servers that hold each shard.
+    /// Backend servers that hold each shard; without shards, those of the service.
     pub replicas: u32,
+    /// Backend servers of the service, where they are fewer than one for each replica.
+    #[serde(default)]
+    pub servers: Option<u32>,
     /// Documents in each shard.
     #[serde(default)]
     pub documents: u64,
@@ -113,7 +116,7 @@
     ) -> io::Result<()> {
         let domains: Vec<&id::Domain> = self.config.domains.iter().collect();
         let mut servers = BTreeMap::new();
-        for number in 0..data.shards.max(1) * data.replicas {
+        for number in 0..data.servers() {
             let backend = Backend::new(data.behavior(service, number));
             let listener = bind().await?;
             let server = Server {
@@ -152,11 +155,15 @@
         }
     }
 
+    fn servers(&self) -> u32 {
+        self.servers.unwrap_or(self.shards.max(1) * self.replicas)
+    }
+
     /// The shard map of a snapshot, with the replicas of a shard in neighbouring servers.
     fn map(&self, service: &id::Service, snapshot: id::Snapshot) -> Option<Map> {
         let replicas = |shard| {
             let first = shard * self.replicas;
-            let numbers = first..first + self.replicas;
+            let numbers = (first..first + self.replicas).map(|n| n % self.servers());
             numbers.map(|n| format!("{service}-{n}").into()).collect()
         };
         let part = |shard| Part {
--- a/crates/lentillift/src/demo/fleet.rs
+++ b/crates/lentillift/src/demo/fleet.rs
@@ -2,111 +2,136 @@
 
 use anyhow::Context;
 use lentillift_core::id;
-use lentillift_core::snapshot::Map;
-use lentillift_core::snapshot::Part;
-use lentillift_settings::config::Caller;
-use lentillift_settings::config::Class;
 use lentillift_settings::config::Config;
 use lentillift_settings::config::Kind;
-use lentillift_settings::config::Service;
 use lentillift_settings::daemon::Settings;
-use lentillift_settings::placement::Placement;
-use lentillift_settings::placement::Server;
-use lentillift_settings::placement::State;
-use lentillift_settings::roster;
-use lentillift_settings::roster::Roster;
-use lentillift_standin::backend::Backend;
-use lentillift_standin::behavior::Behavior;
-use lentillift_standin::platform::Platform;
+use lentillift_standin::world::Data;
+use lentillift_standin::world::Running;
+use lentillift_standin::world::World;
 use lentilliftd::daemon::Daemon;
 use lentilliftd::daemon::Sockets;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-/// Shards of the name search, each on two backend servers.
-pub(crate) const SHARDS: u32 = 68;
-
 /// Processes of the system.
 const NODES: u32 = 3;
 
-/// Failure domains.
-const DOMAINS: [&str; 4] = ["d1", "d2", "d3", "d4"];
-
-/// The service that is searched.
-pub(crate) const SEARCH: &str = "notice-search";
-
-/// The service whose requests may not be repeated.
-pub(crate) const SUBMIT: &str = "notice-submission";
+/// One of the users' boards, as its example configures it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Board {
+    /// Its name.
+    pub(crate) name: &'static str,
+    config: &'static str,
+    /// Services with more than two backend servers, and how many.
+    large: &'static [(&'static str, u32)],
+    /// The service that is searched here.
+    pub(crate) search: &'static str,
+    /// Its shards, each on two backend servers.
+    pub(crate) shards: u32,
+    /// The service whose requests may not be repeated.
+    pub(crate) action: &'static str,
+    /// A caller.
+    pub(crate) caller: &'static str,
+}
 
-/// The caller's name.
-pub(crate) const CALLER: &str = "mobile";
+/// The boards of the examples.
+pub(crate) const BOARDS: [Board; 2] = [
+    Board {
+        name: "nafisa",
+        config: include_str!("../../../../examples/nafisa.config.json"),
+        large: &[("archive", 10), ("press-feed", 4)],
+        search: "archive",
+        shards: 68,
+        action: "submission-01",
+        caller: "genealogists",
+    },
+    Board {
+        name: "kerala",
+        config: include_str!("../../../../examples/kerala.config.json"),
+        large: &[("download-desk", 10), ("audit-ledger", 5)],
+        search: "template-search-01",
+        shards: 2,
+        action: "download-desk",
+        caller: "collectors",
+    },
+];
 
 /// A running fleet.
 pub(crate) struct Fleet {
     /// Where callers connect, one address for each process.
     pub(crate) callers: Vec<SocketAddr>,
-    /// The backend servers by name.
-    pub(crate) backends: BTreeMap<id::Backend, Backend>,
+    /// Where operators connect, one address for each process.
+    pub(crate) operators: Vec<SocketAddr>,
+    /// The platform's side.
+    pub(crate) running: Running,
     daemons: Vec<Daemon>,
     _stop: watch::Sender<bool>,
 }
 
-impl Fleet {
-    /// Starts all parts and publishes the configuration.
-    pub(crate) async fn start() -> anyhow::Result<Self> {
-        let (stop, stopped) = watch::channel(false);
-        let platform = Platform::default();
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let platform_address = listener.local_addr()?;
-        tokio::spawn(platform.clone().serve(listener, stopped.clone()));
+impl Board {
+    fn world(&self) -> anyhow::Result<World> {
+        let config: Config = serde_json::from_str(self.config).context(self.name)?;
+        let services = config.services.iter();
+        let data: BTreeMap<id::Service, Data> = services
+            .map(|(name, service)| (name.clone(), self.data(name, service.kind)))
+            .collect();
+        Ok(World { config, data })
+    }
 
-        let mut backends = BTreeMap::new();
-        let mut publish = BTreeMap::new();
-        for (service, servers) in [(SEARCH, SHARDS * 2), (SUBMIT, 2)] {
-            let started = servers_of(service, servers, &stopped, &mut backends).await?;
-            publish.insert(service, started);
-        }
-        let lost: id::Backend = format!("{SEARCH}-1").into();
-        let straggler: id::Backend = format!("{SEARCH}-4").into();
-        let straggling = backends.get(&straggler).context("no straggler")?;
-        straggling.set(|behavior| {
-            behavior.slow_every = 3;
-            behavior.slow = Duration::from_millis(40);
-        });
-        if let Some(server) = publish.get_mut(SEARCH).and_then(|s| s.get_mut(&lost)) {
-            // Port 1 of loopback: nobody listens there, as with a replica that died.
-            server.address = SocketAddr::from(([127, 0, 0, 1], 1));
+    fn data(&self, service: &str, kind: Kind) -> Data {
+        let large = self.large.iter().find(|(name, _)| *name == service);
+        let servers = large.map_or(2, |(_, servers)| *servers);
+        let shards = match kind {
+            Kind::Action => 0,
+            Kind::Search if service == self.search => self.shards,
+            Kind::Search => 1,
+        };
+        Data {
+            shards,
+            replicas: 2,
+            servers: Some(servers),
+            documents: 1000,
+            latency_us: 500,
+            spread_us: 0,
+            slow_every: 0,
+            slow_us: 0,
         }
+    }
+}
 
-        let mut daemons = Vec::new();
-        let mut callers = Vec::new();
-        let mut hosts = BTreeMap::new();
+impl Fleet {
+    /// Starts all parts and publishes the configuration.
+    pub(crate) async fn start(board: &Board) -> anyhow::Result<Self> {
+        let (stop, stopped) = watch::channel(false);
+        let mut running = board.world()?.start(&stopped).await?;
+        slow_one(&running, board)?;
+        lose_one(&mut running, board)?;
+        let mut fleet = Self {
+            callers: Vec::new(),
+            operators: Vec::new(),
+            running,
+            daemons: Vec::new(),
+            _stop: stop,
+        };
         for number in 0..NODES {
-            let settings = settings(number, platform_address);
-            let sockets = Sockets::open(&settings).await?;
-            callers.push(sockets.caller.local_addr()?);
-            let entry = roster::Entry {
-                address: sockets.node.local_addr()?,
-                domain: settings.domain.clone(),
-                state: State::Live,
-            };
-            hosts.insert(settings.host.clone(), entry);
-            daemons.push(Daemon::start(&settings, sockets, u64::from(number) + 1));
-        }
-        for (service, servers) in publish {
-            platform.publish(&format!("service/{service}"), &placement(service, servers));
+            fleet.start_node(number).await?;
         }
-        platform.publish("hosts", &Roster { revision: 1, hosts });
-        platform.publish("config", &config());
-        Ok(Self {
-            callers,
-            backends,
-            daemons,
-            _stop: stop,
-        })
+        Ok(fleet)
+    }
+
+    async fn start_node(&mut self, number: u32) -> anyhow::Result<()> {
+        let settings = settings(number, self.running.address);
+        let sockets = Sockets::open(&settings).await?;
+        let node = sockets.node.local_addr()?;
+        self.callers.push(sockets.caller.local_addr()?);
+        self.operators.push(sockets.operator.local_addr()?);
+        self.running
+            .add_host(&settings.host, node, &settings.domain);
+        let daemon = Daemon::start(&settings, sockets, u64::from(number) + 1);
+        self.daemons.push(daemon);
+        Ok(())
     }
 
     /// Whether every process serves callers.
@@ -122,34 +147,34 @@
     }
 }
 
-async fn servers_of(
-    service: &str,
-    servers: u32,
-    stopped: &watch::Receiver<bool>,
-    backends: &mut BTreeMap<id::Backend, Backend>,
-) -> anyhow::Result<BTreeMap<id::Backend, Server>> {
-    let mut published = BTreeMap::new();
-    for number in 0..servers {
-        let name: id::Backend = format!("{service}-{number}").into();
-        let backend = Backend::new(Behavior::default());
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let server = Server {
-            address: listener.local_addr()?,
-            domain: DOMAINS[number as usize % DOMAINS.len()].into(),
-            state: State::Live,
-        };
-        tokio::spawn(backend.clone().serve(listener, stopped.clone()));
-        backends.insert(name.clone(), backend);
-        published.insert(name, server);
-    }
-    Ok(published)
+/// Makes every tenth request of one backend server slow.
+fn slow_one(running: &Running, board: &Board) -> anyhow::Result<()> {
+    let name = format!("{}-0", board.search);
+    let backend = running.backends.get(name.as_str()).context(name)?;
+    backend.set(|behavior| {
+        behavior.slow_every = 10;
+        behavior.slow = Duration::from_millis(40);
+    });
+    Ok(())
+}
+
+/// Publishes an address where nobody listens, as with a replica that died: port 1 of loopback.
+fn lose_one(running: &mut Running, board: &Board) -> anyhow::Result<()> {
+    let name = format!("{}-1", board.search);
+    let placed = running.place(board.search, |placement| {
+        if let Some(server) = placement.servers.get_mut(name.as_str()) {
+            server.address = SocketAddr::from(([127, 0, 0, 1], 1));
+        }
+    });
+    anyhow::ensure!(placed, "no service {}", board.search);
+    Ok(())
 }
 
 fn settings(number: u32, platform_address: SocketAddr) -> Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
         host: format!("host-{number}").into(),
-        domain: DOMAINS[number as usize % DOMAINS.len()].into(),
+        domain: format!("d{}", number + 1).into(),
         caller_address: any,
         node_address: any,
         operator_address: any,
@@ -157,54 +182,3 @@
         seeds: Vec::new(),
     }
 }
-
-fn placement(service: &str, servers: BTreeMap<id::Backend, Server>) -> Placement {
-    let part = |shard| Part {
-        shard,
-        weight: 1000 + u64::from(shard),
-        replicas: (0..2)
-            .map(|replica| format!("{service}-{}", shard * 2 + replica).into())
-            .collect(),
-    };
-    let map = Map {
-        snapshot: 1,
-        parts: (0..SHARDS).map(part).collect(),
-    };
-    Placement {
-        revision: 1,
-        servers,
-        maps: (service == SEARCH).then_some(map).into_iter().collect(),
-    }
-}
-
-fn config() -> Config {
-    let service = |kind, class: &str| Service {
-        kind,
-        class: class.into(),
-        slots: 2,
-        connections: 25,
-        cold_slots: 1,
-        connect_ms: 6,
-    };
-    let class = |rank| Class {
-        rank,
-        queue_ms: 100,
-    };
-    Config {
-        revision: 1,
-        domains: DOMAINS.into_iter().map(id::Domain::from).collect(),
-        regions: BTreeMap::new(),
-        domains_out: Default::default(),
-        hosts_out: Default::default(),
-        classes: [("name".into(), class(0)), ("urgent".into(), class(1))].into(),
-        callers: [(CALLER.into(), Caller { weight: 1 })].into(),
-        services: [
-            (SEARCH.into(), service(Kind::Search, "name")),
-            (SUBMIT.into(), service(Kind::Action, "urgent")),
-        ]
-        .into(),
-        least_allowance_ms: 10,
-        most_allowance_ms: 10_000,
-        policy: Default::default(),
-    }
-}
--- a/crates/lentillift/src/demo/mod.rs
+++ b/crates/lentillift/src/demo/mod.rs
@@ -2,16 +2,17 @@
 
 mod fleet;
 
+use crate::exit::Exit;
 use anyhow::Context;
-use fleet::CALLER;
+use fleet::BOARDS;
+use fleet::Board;
 use fleet::Fleet;
-use fleet::SEARCH;
-use fleet::SUBMIT;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 use std::time::Instant;
+use tokio::runtime::Runtime;
 use ureq::Agent;
 
 /// Queries that are asked.
@@ -24,8 +25,18 @@
 const READY: Duration = Duration::from_secs(10);
 
 /// Runs the demonstration; it fails unless everything was as it should be.
-pub(crate) fn run() -> ExitCode {
-    match try_run() {
+///
+/// With `--hold` the last board's fleet goes on until the process is interrupted.
+pub(crate) fn run(arguments: &[String]) -> ExitCode {
+    let hold = match arguments {
+        [] => false,
+        [only] if only == "--hold" => true,
+        _ => {
+            eprintln!("Usage: lentillift demo [--hold]");
+            return Exit::Usage.into();
+        }
+    };
+    match try_run(hold) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::FAILURE,
         Err(error) => {
@@ -35,36 +46,46 @@
     }
 }
 
-fn try_run() -> anyhow::Result<usize> {
+fn try_run(hold: bool) -> anyhow::Result<usize> {
     let runtime = tokio::runtime::Runtime::new()?;
-    let fleet = runtime.block_on(Fleet::start())?;
-    println!(
-        "Started a platform, {} backend servers and {} processes of the system on loopback.",
-        fleet.backends.len(),
-        fleet.callers.len()
-    );
-    println!("One backend server straggles, one replica is lost.");
+    let mut account = Account::default();
+    for (number, board) in BOARDS.iter().enumerate() {
+        let fleet = runtime.block_on(Fleet::start(board))?;
+        account.show(board, &fleet)?;
+        let last = number + 1 == BOARDS.len();
+        if last && hold {
+            hold_on(&runtime, &fleet)?;
+        }
+        runtime.block_on(fleet.stop());
+    }
+    println!("{}", account.summary());
+    Ok(account.violations.len())
+}
+
+/// Keeps a fleet running until the process is interrupted.
+fn hold_on(runtime: &Runtime, fleet: &Fleet) -> anyhow::Result<()> {
+    println!("Callers connect to {:?}.", fleet.callers);
+    println!("Operators connect to {:?}.", fleet.operators);
+    println!("Interrupt to end.");
+    runtime.block_on(tokio::signal::ctrl_c())?;
+    Ok(())
+}
+
+fn await_ready(fleet: &Fleet) -> anyhow::Result<()> {
     let since = Instant::now();
     while !fleet.is_ready() {
         anyhow::ensure!(since.elapsed() < READY, "the fleet did not get ready");
         std::thread::sleep(Duration::from_millis(10));
     }
-    let mut account = Account::default();
-    let agent: Agent = Agent::config_builder()
+    Ok(())
+}
+
+fn agent() -> Agent {
+    Agent::config_builder()
         .http_status_as_error(false)
         .proxy(None)
         .build()
-        .into();
-    for number in 0..QUERIES {
-        let entry = fleet.callers[number % fleet.callers.len()];
-        account.query(&agent, entry, number)?;
-    }
-    account.report_queries();
-    account.action(&agent, &fleet)?;
-    account.check_backends(&fleet);
-    println!("{}", account.summary());
-    runtime.block_on(fleet.stop());
-    Ok(account.violations.len())
+        .into()
 }
 
 /// What the demonstration saw.
@@ -79,11 +100,44 @@
 }
 
 impl Account {
-    fn query(&mut self, agent: &Agent, entry: SocketAddr, number: usize) -> anyhow::Result<()> {
+    /// Asks a board's fleet and tells what happened.
+    fn show(&mut self, board: &Board, fleet: &Fleet) -> anyhow::Result<()> {
+        println!(
+            "{}: started a platform, {} backend servers and {} processes of the system.",
+            board.name,
+            fleet.running.backends.len(),
+            fleet.callers.len()
+        );
+        println!(
+            "{}: of {}, server 0 is slow at times and server 1 is lost.",
+            board.name, board.search
+        );
+        await_ready(fleet)?;
+        let agent = agent();
+        self.full = 0;
+        let before = std::mem::take(&mut self.latencies);
+        for number in 0..QUERIES {
+            let entry = fleet.callers[number % fleet.callers.len()];
+            self.query(&agent, board, entry, number)?;
+        }
+        self.report_queries(board);
+        self.latencies.extend(before);
+        self.action(&agent, board, fleet)?;
+        self.check_backends(fleet);
+        Ok(())
+    }
+
+    fn query(
+        &mut self,
+        agent: &Agent,
+        board: &Board,
+        entry: SocketAddr,
+        number: usize,
+    ) -> anyhow::Result<()> {
         let started = Instant::now();
         let mut response = agent
-            .post(format!("http://{entry}/v1/services/{SEARCH}/query"))
-            .header("x-caller", CALLER)
+            .post(format!("http://{entry}/v1/services/{}/query", board.search))
+            .header("x-caller", board.caller)
             .header("x-allowance-ms", ALLOWANCE_MS.to_string())
             // Each asks for something else, or an answer that was kept would do.
             .send(format!(r#"{{"q":"Amina {number}","limit":10}}"#))?;
@@ -100,10 +154,14 @@
             .as_array()
             .context("no list of missing shards")?;
         self.snapshot = answer["snapshot"].as_u64().context("no snapshot")?;
-        self.shards = coverage["shards"].as_u64().context("no shards")?;
-        self.answered = coverage["answered"].as_u64().context("no answered")?;
+        let shards = coverage["shards"].as_u64().context("no shards")?;
+        let answered = coverage["answered"].as_u64().context("no answered")?;
+        // The summary shows the board with the larger search.
+        if shards >= self.shards {
+            (self.shards, self.answered) = (shards, answered);
+        }
         self.full += usize::from(missing.is_empty());
-        if self.answered + missing.len() as u64 != self.shards {
+        if answered + missing.len() as u64 != shards {
             self.violate(format!("coverage does not add up: {coverage}"));
         }
         if answer["hits"]
@@ -115,10 +173,11 @@
         Ok(())
     }
 
-    fn report_queries(&mut self) {
+    fn report_queries(&mut self, board: &Board) {
         println!(
-            "Asked {QUERIES} queries of {} shards each: {} with full coverage, p50 {:.1} ms, p99 {:.1} ms.",
-            self.shards,
+            "{}: asked {QUERIES} queries of {} shards each: {} with full coverage, p50 {:.1} ms, p99 {:.1} ms.",
+            board.name,
+            board.shards,
             self.full,
             self.quantile(0.5),
             self.quantile(0.99)
@@ -129,19 +188,23 @@
     }
 
     /// Sends one request twice, by two entries, and looks how often it ran.
-    fn action(&mut self, agent: &Agent, fleet: &Fleet) -> anyhow::Result<()> {
+    fn action(&mut self, agent: &Agent, board: &Board, fleet: &Fleet) -> anyhow::Result<()> {
         let first = fleet.callers[0];
         let second = fleet.callers[1];
         let mut issued = agent
-            .post(format!("http://{first}/v1/services/{SUBMIT}/ids"))
-            .header("x-caller", CALLER)
+            .post(format!("http://{first}/v1/services/{}/ids", board.action))
+            .header("x-caller", board.caller)
             .send_empty()?;
         let issued: Value = serde_json::from_str(&issued.body_mut().read_to_string()?)?;
-        let key = issued["id"].as_str().context("no id")?;
+        let key = issued["id"].as_str();
+        let key = key.with_context(|| format!("no id: {issued}"))?;
         for entry in [first, second] {
             let mut response = agent
-                .post(format!("http://{entry}/v1/services/{SUBMIT}/action"))
-                .header("x-caller", CALLER)
+                .post(format!(
+                    "http://{entry}/v1/services/{}/action",
+                    board.action
+                ))
+                .header("x-caller", board.caller)
                 .header("x-allowance-ms", ALLOWANCE_MS.to_string())
                 .header("idempotency-key", key)
                 .send(r#"{"notice":"Amina"}"#)?;
@@ -153,6 +216,7 @@
             }
         }
         let ran: u64 = fleet
+            .running
             .backends
             .values()
             .filter_map(|backend| backend.count().actions.get(key).copied())
@@ -165,7 +229,7 @@
     }
 
     fn check_backends(&mut self, fleet: &Fleet) {
-        for (name, backend) in &fleet.backends {
+        for (name, backend) in &fleet.running.backends {
             let count = backend.count();
             if count.overloads > 0 {
                 self.violate(format!("{name} had {} in flight", count.peak));
--- a/crates/lentillift/src/main.rs
+++ b/crates/lentillift/src/main.rs
@@ -27,7 +27,7 @@
         return command.start(&["--help".to_owned()]).into();
     }
     match name.as_str() {
-        "demo" => demo::run(),
+        "demo" => demo::run(rest),
         "help" | "--help" | "-h" => {
             command::show(&help());
             ExitCode::SUCCESS
