--- a/crates/lentillift-entry/tests/bench/mod.rs
+++ b/crates/lentillift-entry/tests/bench/mod.rs
@@ -110,8 +110,11 @@
         let fake = |name: &id::Backend| (name.clone(), Fake::new(setup));
         let backends = placement.servers.keys().map(fake).collect();
         let near = |n: usize| domain(n % setup.domains);
-        let entries =
-            (0..setup.hosts).map(|n| Entry::new(StdRng::seed_from_u64(rng.random())).near(near(n)));
+        let entries = (0..setup.hosts).map(|n| {
+            Entry::new(StdRng::seed_from_u64(rng.random()))
+                .keeping(0)
+                .near(near(n))
+        });
         let entries = entries.collect();
         let values = Values {
             config: Some(Arc::new(config(setup))),
--- a/crates/lentillift-entry/tests/bench/patterns.rs
+++ b/crates/lentillift-entry/tests/bench/patterns.rs
@@ -290,3 +290,28 @@
     world.run(Duration::from_secs(61));
     world
 }
+
+/// A server restarts under 70% load as in [`cold_return`], but tells of it thirty seconds later,
+/// when it has long been warm, and tells nothing of its new start.
+pub fn late_reports(policy: Policy, pace: f64) -> World {
+    let mut world = World::new(&Setup {
+        policy,
+        pace,
+        ..Setup::default()
+    });
+    world.stream(Stream::new("reader", 560.0, 0.0, 50.0));
+    world.at(Duration::from_secs(10), |w| {
+        w.set(&backend(0, 0), |b| {
+            b.cold = 100;
+            b.says = Says::Idle;
+        });
+    });
+    world.at(Duration::from_secs(40), |w| {
+        w.set(&backend(0, 0), |b| b.says = Says::Cold);
+    });
+    world.at(Duration::from_secs(41), |w| {
+        w.set(&backend(0, 0), |b| b.says = Says::Truth);
+    });
+    world.run(Duration::from_secs(51));
+    world
+}
--- a/crates/lentillift-entry/tests/bench/table.rs
+++ b/crates/lentillift-entry/tests/bench/table.rs
@@ -112,6 +112,17 @@
             both(pace, patterns::false_reports, without_avoidance, &labels)
         },
     },
+    Pattern {
+        name: "reports 30 s late",
+        run: |pace| {
+            both(
+                pace,
+                patterns::late_reports,
+                |p| p.warmup.on = false,
+                &["reader"],
+            )
+        },
+    },
     Pattern {
         name: "one of three domains out and back",
         run: |pace| {
--- a/crates/lentillift-entry/tests/patterns.rs
+++ b/crates/lentillift-entry/tests/patterns.rs
@@ -147,6 +147,16 @@
         }
     };
 
+    /// A server's reports lag by half a minute: it restarts and says that it is well, and when it is
+    /// warm it says that it is cold. It shows by its lost connections, which cost a few requests;
+    /// without that sign it would fall over until its caches are warm.
+    late_report_of_a_cold_start_costs_a_few_requests: late_reports at 0.4 => |world| {
+        let falls: u64 = world.backends.values().map(|b| b.falls).sum();
+        assert!(falls <= 3, "{falls}");
+        let got = summary(world, "reader", 0.0, END);
+        assert!(got.success() >= 0.98, "{got}");
+    };
+
     /// Operators take a failure domain out at 70% load and bring it back cold. There is not enough
     /// left for all; the archive goes without, and the returning servers are not swamped.
     domain_out_is_borne_by_the_archive: domain_out at 0.25 => |world| {
