--- a/crates/lentillift/tests/fleet.rs
+++ b/crates/lentillift/tests/fleet.rs
@@ -103,8 +103,8 @@
                 prop_assert!(place(&hosts[n - 1], "got") < place(host, "got"));
             }
         }
-        let pairs = merged.windows(2).filter(|two| two[0].host == two[1].host);
-        let forward = pairs.map(|two| two[0].at_ms <= two[1].at_ms).all(|rises| rises);
+        let mut pairs = merged.windows(2).filter(|two| two[0].host == two[1].host);
+        let forward = pairs.all(|two| two[0].at_ms <= two[1].at_ms);
         prop_assert!(forward);
     }
 }
