Read datagrams full of short accounts; feed damaged input to more parsers

Cause: the decoder bounded a packet's room in memory by the size of a datagram. Thirteen accounts of hosts with short names, which a sender may send, were refused with LimitExceeded, and news would not spread.

--- a/crates/lentillift-node/tests/fuzz.rs
+++ b/crates/lentillift-node/tests/fuzz.rs
@@ -1,6 +1,15 @@
 //! Whatever a peer sends, the reader refuses it or takes it, and holds no more than a frame.
 
 use bytes::BytesMut;
+use lentillift_fleet::member::Member;
+use lentillift_fleet::packet::Body;
+use lentillift_fleet::packet::Digest;
+use lentillift_fleet::packet::NEWS_BYTES;
+use lentillift_fleet::packet::News;
+use lentillift_fleet::packet::Packet;
+use lentillift_fleet::view::Health;
+use lentillift_fleet::view::Stage;
+use lentillift_node::datagram;
 use lentillift_node::frame;
 use lentillift_node::message::Message;
 use lentillift_once::submit::Submit;
@@ -79,3 +88,40 @@
     let frames = frame::encode(messages.clone()).expect("frames");
     assert_eq!(read(&frames), Ok(messages));
 }
+
+/// Hosts have short names, so that many accounts go into one datagram. What a sender may send the
+/// receiver must take, or news would stop at once in a fleet with short names and nobody would know
+/// why.
+#[test]
+fn a_datagram_full_of_short_accounts_is_read() {
+    let member = |host: String| Member {
+        host: host.into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: "a".into(),
+        incarnation: 1,
+        version: 1,
+        stage: Stage::Serving,
+        health: Health::Alive,
+    };
+    let mut news = Vec::new();
+    let mut room = NEWS_BYTES;
+    for number in 0.. {
+        let one = News::Member(member(format!("{number}")));
+        let Some(left) = room.checked_sub(one.bytes()) else {
+            break;
+        };
+        room = left;
+        news.push(one);
+    }
+    let packet = Packet {
+        from: member("h".to_owned()),
+        digest: Digest {
+            values: 1,
+            members: 2,
+        },
+        body: Body::Ping(1),
+        news,
+    };
+    let bytes = datagram::encode(packet.clone()).expect("a datagram");
+    assert_eq!(datagram::decode(&bytes), Ok(packet));
+}
--- a/crates/lentillift-once/tests/bounds.rs
+++ b/crates/lentillift-once/tests/bounds.rs
@@ -15,6 +15,8 @@
 use lentillift_once::submit::Settled;
 use lentillift_once::submit::Submit;
 use lentillift_settings::jsonc;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::sync::Arc;
@@ -252,3 +254,21 @@
     Duration::ZERO,
     Allowance
 );
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// A caller sends any text as an id; it is told what is wrong with it, and nothing runs.
+    #[test]
+    fn any_text_is_an_id_or_is_refused(text in "(host-0|[a-z.]{0,9})(\\.[0-9a-g]{0,17}){0,5}|\\PC{0,30}") {
+        match text.parse::<Key>() {
+            Ok(key) => prop_assert_eq!(key.to_string().parse(), Ok(key)),
+            Err(detail) => prop_assert!(!detail.is_empty()),
+        }
+    }
+}
