--- a/crates/lentillift-fleet/src/lib.rs
+++ b/crates/lentillift-fleet/src/lib.rs
@@ -2,5 +2,9 @@
 
 #![forbid(unsafe_code)]
 
+pub mod grant;
+pub mod guardian;
+pub mod lease;
 pub mod rendezvous;
+pub mod tenure;
 pub mod view;
--- /dev/null
+++ b/crates/lentillift-fleet/tests/lease/main.rs
@@ -0,0 +1,99 @@
+//! Leases keep the sum of requests under way within a backend server's limit.
+
+mod model;
+
+use model::Rule;
+use model::Scope;
+use model::explore;
+
+/// Guardians that stay the same.
+const SAME: &[&[usize]] = &[&[0, 1, 2]];
+
+/// One guardian is replaced.
+const ONE: &[&[usize]] = &[&[0, 1, 2], &[0, 1, 3]];
+
+const BASE: Scope = Scope {
+    rule: Rule::Lease,
+    steps: 3,
+    claims: 3,
+    restarts: 0,
+    hand_overs: 0,
+    lists: SAME,
+    settle: 100,
+};
+
+/// Walks through a scope and wants every state within the limit.
+macro_rules! safe {
+    ($(#[$doc:meta])* $name:ident, $scope:expr) => {
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let finding = explore(&$scope);
+            println!("{}: {} states", stringify!($name), finding.states);
+            assert!(finding.violation.is_none(), "{:#?}", finding.violation);
+        }
+    };
+}
+
+#[test]
+fn own_view_alone_breaks_the_limit() {
+    // Two processes hold different hosts to be alive, as after any loss of a message, and each finds
+    // itself to be the owner. A cold server gets two requests at once and falls over.
+    let scope = Scope {
+        rule: Rule::View,
+        ..BASE
+    };
+    let violation = explore(&scope).violation;
+    assert_eq!(violation, Some(vec!["a sends".into(), "b sends".into()]));
+}
+
+safe!(
+    /// Claims and grants are lost, late, doubled and overtaken, and a candidate may pause between
+    /// any two steps. A user of a cold server would notice a second owner by failed searches.
+    loss_delay_and_pause,
+    BASE
+);
+
+safe!(
+    /// A guardian or a holder restarts and forgets what it granted while the grant is in use.
+    restart,
+    Scope {
+        restarts: 1,
+        claims: 2,
+        steps: 4,
+        ..BASE
+    }
+);
+
+safe!(
+    /// Two hosts restart at once, a guardian among them, and messages from before arrive after.
+    two_restarts,
+    Scope {
+        restarts: 2,
+        claims: 2,
+        steps: 2,
+        ..BASE
+    }
+);
+
+safe!(
+    /// A holder hands over with a request under way; the message is lost, late or doubled.
+    hand_over,
+    Scope {
+        hand_overs: 1,
+        claims: 2,
+        steps: 3,
+        ..BASE
+    }
+);
+
+safe!(
+    /// One candidate goes by a newer host list than the other, for as long as it may take.
+    stale_list,
+    Scope {
+        lists: ONE,
+        claims: 3,
+        steps: 2,
+        ..BASE
+    }
+);
--- /dev/null
+++ b/crates/lentillift-fleet/tests/lease/model.rs
@@ -0,0 +1,408 @@
+//! A small world of guardians and candidates whose every course of events is walked through.
+//!
+//! Claims stay in the network for good: a claim may be lost, late, doubled or overtaken, because it
+//! may be delivered never, at any later time, or again. A grant's way back is either quick or lost;
+//! a slow one gives the candidate less than a quick one, since it counts from the sending.
+//! A candidate that may send always has the whole limit under way, each request for as long as its
+//! lease lasts: whoever breaks the limit with less also breaks it with this.
+
+use lentillift_core::id;
+use lentillift_core::time::Time;
+use lentillift_fleet::grant;
+use lentillift_fleet::grant::Claim;
+use lentillift_fleet::grant::Holder;
+use lentillift_fleet::grant::Register;
+use lentillift_fleet::grant::Verdict;
+use lentillift_fleet::lease;
+use lentillift_fleet::lease::Lease;
+use lentillift_fleet::lease::Quorum;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+
+/// Length of one step of time.
+const STEP: Duration = Duration::from_secs(1);
+
+/// Steps that a grant lasts.
+const TERM: u32 = 2;
+
+/// Names of the hosts; the first two want to send.
+const HOSTS: [&str; 4] = ["a", "b", "c", "d"];
+
+/// Hosts that want to send.
+const CANDIDATES: usize = 2;
+
+/// Who may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Rule {
+    /// Whoever ranks first among the hosts that it holds to be alive.
+    View,
+    /// Whoever has a lease.
+    Lease,
+}
+
+/// What may happen, and how often.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Scope {
+    pub(crate) rule: Rule,
+    /// Steps of time.
+    pub(crate) steps: u32,
+    /// Rounds of claims, by all candidates together.
+    pub(crate) claims: u32,
+    /// Restarts of a host.
+    pub(crate) restarts: u32,
+    /// Hand-overs.
+    pub(crate) hand_overs: u32,
+    /// Guardians by each revision of the host list, as bits.
+    pub(crate) lists: &'static [&'static [usize]],
+    /// Steps after which a candidate stops to ask guardians that left the list.
+    pub(crate) settle: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Sent {
+    Claim(usize, usize, Time, Claim),
+    HandOver(usize, Holder, Time),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Candidate {
+    incarnation: u64,
+    attempts: u64,
+    list: usize,
+    quorum: Quorum,
+    lease: Option<Lease>,
+    ceded_by: Option<Holder>,
+    /// When the last request taken over from another holder is over.
+    inherited: Time,
+    /// When the last request of its own is over.
+    busy: Time,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    now: Time,
+    registers: Vec<Register>,
+    candidates: Vec<Candidate>,
+    sent: BTreeSet<Sent>,
+    /// When requests of earlier incarnations are over.
+    orphans: Vec<Time>,
+    claims: u32,
+    restarts: u32,
+    hand_overs: u32,
+}
+
+/// What came of walking through a scope.
+#[derive(Debug)]
+pub(crate) struct Finding {
+    /// Different states that were seen.
+    pub(crate) states: usize,
+    /// The steps to the first state with more requests under way than the limit.
+    pub(crate) violation: Option<Vec<String>>,
+}
+
+fn name(host: usize) -> id::Host {
+    HOSTS[host].into()
+}
+
+fn options(scope: &Scope) -> lease::Options {
+    lease::Options {
+        term: STEP * TERM,
+        drift: Duration::ZERO,
+        settle: STEP * scope.settle,
+    }
+}
+
+fn guardians(scope: &Scope, list: usize) -> Vec<id::Host> {
+    scope.lists[list].iter().map(|host| name(*host)).collect()
+}
+
+fn hash(state: &State) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    state.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Walks through all that can happen within `scope`, nearest first.
+pub(crate) fn explore(scope: &Scope) -> Finding {
+    let first = start(scope);
+    // Parents by hash, so that a trace can be told without keeping whole states twice.
+    let mut seen: HashMap<u64, (u64, String)> = HashMap::new();
+    seen.insert(hash(&first), (0, String::new()));
+    let mut queue = VecDeque::from([first]);
+    while let Some(state) = queue.pop_front() {
+        let from = hash(&state);
+        if state.busy() > 1 {
+            let violation = Some(trace(&seen, from));
+            let states = seen.len();
+            return Finding { states, violation };
+        }
+        for (step, next) in state.successors(scope) {
+            let key = hash(&next);
+            if let std::collections::hash_map::Entry::Vacant(entry) = seen.entry(key) {
+                entry.insert((from, step));
+                queue.push_back(next);
+            }
+        }
+    }
+    Finding {
+        states: seen.len(),
+        violation: None,
+    }
+}
+
+fn trace(seen: &HashMap<u64, (u64, String)>, mut at: u64) -> Vec<String> {
+    let mut steps = Vec::new();
+    while let Some((before, step)) = seen.get(&at)
+        && !step.is_empty()
+    {
+        steps.push(step.clone());
+        at = *before;
+    }
+    steps.reverse();
+    steps
+}
+
+/// All guardians have run for longer than a term, and nobody holds anything.
+fn start(scope: &Scope) -> State {
+    let term = STEP * TERM;
+    let register = Register::new(Time::ZERO, grant::Options { term });
+    let candidate = Candidate {
+        incarnation: 1,
+        attempts: 0,
+        list: 0,
+        quorum: Quorum::new(guardians(scope, 0), 1),
+        lease: None,
+        ceded_by: None,
+        inherited: Time::ZERO,
+        busy: Time::ZERO,
+    };
+    State {
+        now: term,
+        registers: vec![register; HOSTS.len()],
+        candidates: vec![candidate; CANDIDATES],
+        sent: BTreeSet::new(),
+        orphans: Vec::new(),
+        claims: scope.claims,
+        restarts: scope.restarts,
+        hand_overs: scope.hand_overs,
+    }
+}
+
+impl State {
+    fn successors(&self, scope: &Scope) -> Vec<(String, Self)> {
+        let mut next = Vec::new();
+        next.extend(self.pass_time(scope));
+        for who in 0..CANDIDATES {
+            next.extend(self.read_list(scope, who));
+            match scope.rule {
+                Rule::View => next.extend(self.sees_itself_first(who)),
+                Rule::Lease => next.extend(self.claim(who)),
+            }
+            next.extend(self.hand_over(who, true));
+            next.extend(self.hand_over(who, false));
+        }
+        for host in 0..HOSTS.len() {
+            next.extend(self.restart(scope, host));
+        }
+        for sent in &self.sent {
+            next.extend(self.deliver(scope, sent));
+        }
+        next
+    }
+
+    /// How many full limits are under way at the backend server.
+    fn busy(&self) -> usize {
+        let own = self.candidates.iter().map(|candidate| &candidate.busy);
+        let all = own.chain(&self.orphans);
+        all.filter(|until| **until > self.now).count()
+    }
+
+    /// Sends all that a candidate's lease allows now.
+    fn send(&mut self, who: usize) {
+        let candidate = &mut self.candidates[who];
+        let Some(lease) = &candidate.lease else {
+            return;
+        };
+        let until = lease.until(&candidate.quorum);
+        if until > self.now && candidate.inherited <= self.now {
+            candidate.busy = candidate.busy.max(until);
+        }
+    }
+
+    /// Two views of who is alive differ, and each has its own process in front.
+    fn sees_itself_first(&self, who: usize) -> Option<(String, Self)> {
+        let mut next = self.clone();
+        next.candidates[who].busy = self.now + STEP * TERM;
+        Some((format!("{} sends", HOSTS[who]), next))
+    }
+
+    fn pass_time(&self, scope: &Scope) -> Option<(String, Self)> {
+        if self.now >= STEP * (TERM + scope.steps) {
+            return None;
+        }
+        let mut next = self.clone();
+        next.now += STEP;
+        let now = next.now;
+        next.orphans.retain(|until| *until > now);
+        for candidate in &mut next.candidates {
+            let listed = |host: &id::Host| guardians(scope, candidate.list).contains(host);
+            candidate.quorum.settle(now, STEP * scope.settle, listed);
+        }
+        (0..CANDIDATES).for_each(|who| next.send(who));
+        Some((format!("time is {}", now.as_secs()), next))
+    }
+
+    fn claim(&self, who: usize) -> Option<(String, Self)> {
+        let mut next = self.clone();
+        next.claims = next.claims.checked_sub(1)?;
+        let now = next.now;
+        let candidate = &mut next.candidates[who];
+        if candidate.lease.is_none() {
+            candidate.attempts += 1;
+            candidate.lease = Some(Lease::new(candidate.attempts));
+        }
+        let claim = Claim {
+            backend: "x".into(),
+            attempt: candidate.attempts,
+            ceded_by: candidate.ceded_by.clone(),
+            revision: candidate.list as u64 + 1,
+            sealed: candidate.quorum.sealed(),
+        };
+        for host in candidate.quorum.hosts() {
+            let to = HOSTS.iter().position(|name| **name == *host)?;
+            next.sent.insert(Sent::Claim(who, to, now, claim.clone()));
+        }
+        Some((format!("{} claims", HOSTS[who]), next))
+    }
+
+    fn deliver(&self, scope: &Scope, sent: &Sent) -> Vec<(String, Self)> {
+        match sent {
+            Sent::Claim(who, to, at, claim) => self.deliver_claim(scope, *who, *to, *at, claim),
+            Sent::HandOver(from, holder, left) => {
+                let to = CANDIDATES - 1 - from;
+                let mut next = self.clone();
+                let now = next.now;
+                let candidate = &mut next.candidates[to];
+                if candidate.lease.is_some() {
+                    return Vec::new();
+                }
+                candidate.attempts += 1;
+                candidate.lease = Some(Lease::new(candidate.attempts));
+                candidate.ceded_by = Some(holder.clone());
+                candidate.inherited = now + *left;
+                vec![(format!("{} gets the hand-over", HOSTS[to]), next)]
+            }
+        }
+    }
+
+    fn deliver_claim(
+        &self,
+        scope: &Scope,
+        who: usize,
+        to: usize,
+        at: Time,
+        claim: &Claim,
+    ) -> Vec<(String, Self)> {
+        let mut lost = self.clone();
+        let from = Holder {
+            host: name(who),
+            incarnation: 1,
+            attempt: claim.attempt,
+        };
+        let verdict = lost.registers[to].claim(lost.now, &from, claim);
+        if to < CANDIDATES {
+            lost.candidates[to].quorum.seal(claim.sealed);
+        }
+        if verdict != Verdict::Granted {
+            return vec![(format!("{} refuses {}", HOSTS[to], HOSTS[who]), lost)];
+        }
+        let mut heard = lost.clone();
+        let candidate = &mut heard.candidates[who];
+        if candidate.attempts == claim.attempt
+            && candidate.incarnation == 1
+            && let Some(lease) = &mut candidate.lease
+        {
+            lease.granted(&name(to), at, &options(scope));
+            let valid = heard.now < lease.until(&candidate.quorum);
+            if valid && lease.seals(&candidate.quorum, &options(scope)) {
+                candidate.quorum.seal(candidate.list as u64 + 1);
+            }
+        }
+        heard.send(who);
+        let grants = format!(
+            "{} grants {} (sent {})",
+            HOSTS[to],
+            HOSTS[who],
+            at.as_secs()
+        );
+        vec![(format!("{grants}, answer lost"), lost), (grants, heard)]
+    }
+
+    fn hand_over(&self, who: usize, drained: bool) -> Option<(String, Self)> {
+        let mut next = self.clone();
+        next.hand_overs = next.hand_overs.checked_sub(1)?;
+        let now = next.now;
+        let candidate = &mut next.candidates[who];
+        let lease = candidate.lease.take()?;
+        if lease.until(&candidate.quorum) <= now {
+            return None;
+        }
+        candidate.ceded_by = None;
+        let holder = Holder {
+            host: name(who),
+            incarnation: 1,
+            attempt: lease.attempt,
+        };
+        if drained {
+            candidate.busy = Time::ZERO;
+        }
+        let over = candidate.busy.max(candidate.inherited);
+        let left = over.saturating_sub(now);
+        next.sent.insert(Sent::HandOver(who, holder, left));
+        Some((format!("{} hands over {left:?}", HOSTS[who]), next))
+    }
+
+    /// A process loses all that it knew; what it sent goes on at the backend server.
+    fn restart(&self, scope: &Scope, host: usize) -> Option<(String, Self)> {
+        let mut next = self.clone();
+        next.restarts = next.restarts.checked_sub(1)?;
+        let term = STEP * TERM;
+        next.registers[host] = Register::new(next.now, grant::Options { term });
+        if host < CANDIDATES {
+            let list = next.candidates[host].list;
+            let candidate = &mut next.candidates[host];
+            // Attempts of the new incarnation must differ from those of the one before.
+            candidate.lease = None;
+            candidate.ceded_by = None;
+            candidate.inherited = Time::ZERO;
+            candidate.attempts += 100;
+            candidate.quorum = Quorum::new(guardians(scope, list), list as u64 + 1);
+            let busy = std::mem::take(&mut candidate.busy);
+            next.orphans
+                .extend(Some(busy).filter(|until| *until > self.now));
+        }
+        Some((format!("{} restarts", HOSTS[host]), next))
+    }
+
+    /// A candidate reads the next revision of the host list; others may not have.
+    fn read_list(&self, scope: &Scope, who: usize) -> Option<(String, Self)> {
+        let list = self.candidates[who].list + 1;
+        if list >= scope.lists.len() {
+            return None;
+        }
+        let mut next = self.clone();
+        let now = next.now;
+        let candidate = &mut next.candidates[who];
+        candidate.list = list;
+        candidate
+            .quorum
+            .change(now, guardians(scope, list), list as u64 + 1);
+        next.send(who);
+        Some((format!("{} reads list {}", HOSTS[who], list + 1), next))
+    }
+}
