--- a/crates/lentillift-fleet/src/tenure.rs
+++ b/crates/lentillift-fleet/src/tenure.rs
@@ -246,7 +246,7 @@
             return Vec::new();
         };
         let old_revision = old.values.roster.as_ref().map(|old| old.revision);
-        for (name, backend) in &view.backends {
+        for (name, backend) in view.backends.iter() {
             let guards = backend.guardians.contains(&self.host);
             if let Some(place) = self.places.get_mut(name) {
                 if place.quorum.revision != roster.revision {
--- a/crates/lentillift-node/src/lib.rs
+++ b/crates/lentillift-node/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod frame;
 pub mod hub;
+pub mod lease;
 pub mod link;
 pub mod message;
+pub mod once;
 pub mod wire;
--- a/crates/lentillift-node/src/wire.rs
+++ b/crates/lentillift-node/src/wire.rs
@@ -2,7 +2,13 @@
 //!
 //! These types are apart from those the program works with, so that neither binds the other.
 
+use crate::lease::Claim;
+use crate::lease::Transfer;
+use crate::lease::Verdict;
 use crate::message;
+use crate::once::Parcel;
+use crate::once::Settled;
+use crate::once::Submit;
 use bincode::Decode;
 use bincode::Encode;
 use lentillift_core::hit;
@@ -18,11 +24,29 @@
     /// See [`message::Message::Cancel`].
     Cancel(u64),
     /// See [`message::Message::Result`].
-    Result(Desk, u64, Answer),
+    Result(Desk, u64, Answer, Option<Load>),
     /// See [`message::Message::Submit`].
-    Submit(Submit),
+    Submit(u64, Submit),
     /// See [`message::Message::Settled`].
-    Settled(u64, Outcome, Vec<u8>),
+    Settled(u64, Settled),
+    /// See [`message::Message::NotHome`].
+    NotHome(u64),
+    /// See [`message::Message::Handover`].
+    Handover(Parcel),
+    /// See [`message::Message::Taken`].
+    Taken(u64),
+    /// See [`message::Message::Forward`].
+    Forward(String, Sub),
+    /// See [`message::Message::Claims`].
+    Claims(u64, Vec<Claim>),
+    /// See [`message::Message::Verdicts`].
+    Verdicts(u64, Vec<(String, u64, Verdict)>),
+    /// See [`message::Message::Release`].
+    Release(Vec<(String, u64)>),
+    /// See [`message::Message::Cede`].
+    Cede(Transfer),
+    /// See [`message::Message::Ceded`].
+    Ceded(String),
 }
 
 /// See [`sub::Sub`].
@@ -35,6 +59,7 @@
     work: Work,
     allowance_us: u64,
     body: Vec<u8>,
+    hedge: bool,
 }
 
 /// See [`sub::Desk`].
@@ -66,6 +91,17 @@
     Failed(Failure, Outcome),
 }
 
+/// See [`sub::Load`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct Load {
+    queued: u32,
+    running: u32,
+    limit: u32,
+    cold: bool,
+    wait_us: u64,
+    run_us: u64,
+}
+
 /// See [`hit::Hit`].
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub struct Hit {
@@ -108,31 +144,41 @@
     Unknown,
 }
 
-/// See [`message::Submit`].
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-pub struct Submit {
-    request: u64,
-    key: String,
-    service: String,
-    caller: String,
-    allowance_us: u64,
-    body: Vec<u8>,
-}
-
 impl From<message::Message> for Message {
     fn from(message: message::Message) -> Self {
         match message {
             message::Message::Sub(sub) => Self::Sub(sub.into()),
             message::Message::Cancel(id) => Self::Cancel(id),
-            message::Message::Result { desk, id, result } => {
-                Self::Result(desk.into(), id, result.into())
+            message::Message::Result {
+                desk,
+                id,
+                result,
+                load,
+            } => Self::Result(desk.into(), id, result.into(), load.map(Load::from)),
+            message::Message::Submit { request, submit } => Self::Submit(request, submit.into()),
+            message::Message::Settled { request, settled } => {
+                Self::Settled(request, settled.into())
             }
-            message::Message::Submit(submit) => Self::Submit(submit.into()),
-            message::Message::Settled {
-                request,
-                outcome,
-                body,
-            } => Self::Settled(request, outcome.into(), body),
+            message::Message::NotHome { request } => Self::NotHome(request),
+            message::Message::Handover(parcel) => Self::Handover(parcel.into()),
+            message::Message::Taken { number } => Self::Taken(number),
+            message::Message::Forward { from, sub } => Self::Forward(from.to_string(), sub.into()),
+            message::Message::Claims { sent, claims } => Self::Claims(
+                sent.as_micros() as u64,
+                claims.into_iter().map(Claim::from).collect(),
+            ),
+            message::Message::Verdicts { sent, verdicts } => {
+                let verdicts = verdicts.into_iter();
+                let verdicts =
+                    verdicts.map(|(name, number, v)| (name.to_string(), number, v.into()));
+                Self::Verdicts(sent.as_micros() as u64, verdicts.collect())
+            }
+            message::Message::Release(released) => {
+                let released = released.into_iter();
+                Self::Release(released.map(|(name, n)| (name.to_string(), n)).collect())
+            }
+            message::Message::Cede(transfer) => Self::Cede(transfer.into()),
+            message::Message::Ceded(backend) => Self::Ceded(backend.to_string()),
         }
     }
 }
@@ -144,17 +190,45 @@
         Ok(match message {
             Message::Sub(sub) => Self::Sub(sub.into()),
             Message::Cancel(id) => Self::Cancel(id),
-            Message::Result(desk, id, result) => Self::Result {
+            Message::Result(desk, id, result, load) => Self::Result {
                 desk: desk.into(),
                 id,
                 result: result.try_into()?,
+                load: load.map(sub::Load::from),
             },
-            Message::Submit(submit) => Self::Submit(submit.into()),
-            Message::Settled(request, outcome, body) => Self::Settled {
+            Message::Submit(request, submit) => Self::Submit {
                 request,
-                outcome: outcome.into(),
-                body,
+                submit: submit.into(),
+            },
+            Message::Settled(request, settled) => Self::Settled {
+                request,
+                settled: settled.into(),
             },
+            Message::NotHome(request) => Self::NotHome { request },
+            Message::Handover(parcel) => Self::Handover(parcel.into()),
+            Message::Taken(number) => Self::Taken { number },
+            Message::Forward(from, sub) => Self::Forward {
+                from: from.into(),
+                sub: sub.into(),
+            },
+            Message::Claims(sent, claims) => Self::Claims {
+                sent: Duration::from_micros(sent),
+                claims: claims.into_iter().map(Into::into).collect(),
+            },
+            Message::Verdicts(sent, verdicts) => {
+                let verdicts = verdicts.into_iter();
+                let verdicts = verdicts.map(|(name, number, v)| (name.into(), number, v.into()));
+                Self::Verdicts {
+                    sent: Duration::from_micros(sent),
+                    verdicts: verdicts.collect(),
+                }
+            }
+            Message::Release(released) => {
+                let released = released.into_iter();
+                Self::Release(released.map(|(name, n)| (name.into(), n)).collect())
+            }
+            Message::Cede(transfer) => Self::Cede(transfer.into()),
+            Message::Ceded(backend) => Self::Ceded(backend.into()),
         })
     }
 }
@@ -169,6 +243,7 @@
             work: sub.work.into(),
             allowance_us: sub.allowance.as_micros() as u64,
             body: sub.body.to_vec(),
+            hedge: sub.hedge,
         }
     }
 }
@@ -183,6 +258,7 @@
             work: sub.work.into(),
             allowance: Duration::from_micros(sub.allowance_us),
             body: sub.body.into(),
+            hedge: sub.hedge,
         }
     }
 }
@@ -235,6 +311,32 @@
     }
 }
 
+impl From<sub::Load> for Load {
+    fn from(load: sub::Load) -> Self {
+        Self {
+            queued: load.queued,
+            running: load.running,
+            limit: load.limit,
+            cold: load.cold,
+            wait_us: load.wait.as_micros() as u64,
+            run_us: load.run.as_micros() as u64,
+        }
+    }
+}
+
+impl From<Load> for sub::Load {
+    fn from(load: Load) -> Self {
+        Self {
+            queued: load.queued,
+            running: load.running,
+            limit: load.limit,
+            cold: load.cold,
+            wait: Duration::from_micros(load.wait_us),
+            run: Duration::from_micros(load.run_us),
+        }
+    }
+}
+
 impl From<hit::Hit> for Hit {
     fn from(hit: hit::Hit) -> Self {
         Self {
@@ -260,32 +362,6 @@
     }
 }
 
-impl From<message::Submit> for Submit {
-    fn from(submit: message::Submit) -> Self {
-        Self {
-            request: submit.request,
-            key: submit.key,
-            service: submit.service.to_string(),
-            caller: submit.caller.to_string(),
-            allowance_us: submit.allowance.as_micros() as u64,
-            body: submit.body,
-        }
-    }
-}
-
-impl From<Submit> for message::Submit {
-    fn from(submit: Submit) -> Self {
-        Self {
-            request: submit.request,
-            key: submit.key,
-            service: submit.service.into(),
-            caller: submit.caller.into(),
-            allowance: Duration::from_micros(submit.allowance_us),
-            body: submit.body,
-        }
-    }
-}
-
 /// Writes the conversions, both ways, between two enums with the same unit variants.
 macro_rules! mirror {
     ($domain:ty, $wire:ty, $($variant:ident),+) => {
@@ -307,6 +383,8 @@
     };
 }
 
+pub(crate) use mirror;
+
 mirror!(sub::Desk, Desk, Query, Once);
 mirror!(outcome::Outcome, Outcome, Done, NotRun, Unknown);
 mirror!(
