--- a/crates/lentillift-fleet/src/tenure.rs
+++ b/crates/lentillift-fleet/src/tenure.rs
@@ -242,6 +242,9 @@
     /// Takes a new view of the fleet.
     pub fn set_view(&mut self, now: Time, view: Arc<View>) -> Vec<Effect> {
         let old = std::mem::replace(&mut self.view, view.clone());
+        if old.generation == view.generation && view.generation > 0 {
+            return Vec::new();
+        }
         let Some(roster) = &view.values.roster else {
             return Vec::new();
         };
--- a/crates/lentillift-node/src/message.rs
+++ b/crates/lentillift-node/src/message.rs
@@ -9,6 +9,7 @@
 use lentillift_fleet::grant::Attempt;
 use lentillift_fleet::grant::Claim;
 use lentillift_fleet::grant::Verdict;
+use lentillift_fleet::sync;
 use lentillift_fleet::tenure::Transfer;
 use lentillift_once::record::Parcel;
 use lentillift_once::submit::Settled;
@@ -85,4 +86,6 @@
     Cede(Transfer),
     /// A successor has taken a backend server over.
     Ceded(id::Backend),
+    /// About hosts and values.
+    Sync(sync::Message),
 }
--- a/crates/lentillift-node/src/wire.rs
+++ b/crates/lentillift-node/src/wire.rs
@@ -2,6 +2,7 @@
 //!
 //! These types are apart from those the program works with, so that neither binds the other.
 
+use crate::gossip;
 use crate::lease::Claim;
 use crate::lease::Transfer;
 use crate::lease::Verdict;
@@ -47,6 +48,8 @@
     Cede(Transfer),
     /// See [`message::Message::Ceded`].
     Ceded(String),
+    /// See [`message::Message::Sync`].
+    Sync(gossip::Sync),
 }
 
 /// See [`sub::Sub`].
@@ -179,6 +182,7 @@
             }
             message::Message::Cede(transfer) => Self::Cede(transfer.into()),
             message::Message::Ceded(backend) => Self::Ceded(backend.to_string()),
+            message::Message::Sync(message) => Self::Sync(message.into()),
         }
     }
 }
@@ -229,6 +233,7 @@
             }
             Message::Cede(transfer) => Self::Cede(transfer.into()),
             Message::Ceded(backend) => Self::Ceded(backend.into()),
+            Message::Sync(message) => Self::Sync(message.try_into()?),
         })
     }
 }
--- a/crates/lentillift-owner/src/core/hold.rs
+++ b/crates/lentillift-owner/src/core/hold.rs
@@ -26,13 +26,13 @@
     /// Until when work may be under way at `backend`, if any may be sent now.
     pub(super) fn lease(&self, now: Time, backend: &id::Backend) -> Option<Time> {
         match self.holds.get(backend) {
-            Some(Hold::Until(until)) if now < *until => Some(*until),
+            Some(Hold::Until(until)) if now < *until && self.view.fresh(now) => Some(*until),
             _ => None,
         }
     }
 
     /// Whether work for `backend` may wait here.
-    pub(super) fn keeps(&self, backend: &id::Backend) -> bool {
+    pub fn keeps(&self, backend: &id::Backend) -> bool {
         let hold = self.holds.get(backend);
         matches!(hold, Some(Hold::Until(_) | Hold::Pending))
     }
--- a/crates/lentillift-owner/src/core/refit.rs
+++ b/crates/lentillift-owner/src/core/refit.rs
@@ -14,7 +14,11 @@
     /// Takes in a new view, answers what it leaves without a server, and drops servers that are
     /// no longer owned; one that comes back later is cold.
     pub(super) fn refit(&mut self, now: Time, view: Arc<View>) -> Vec<Effect> {
+        let same = view.generation > 0 && view.generation == self.view.generation;
         self.view = view;
+        if same {
+            return Vec::new();
+        }
         self.config = self.view.values.config.clone();
         self.policy = self
             .config
