--- a/crates/lentillift-fleet/src/tenure.rs
+++ b/crates/lentillift-fleet/src/tenure.rs
@@ -196,6 +196,16 @@
         self.register.is_settled(now)
     }
 
+    /// Whether the backend servers that this process guards have holders, or had time to get them.
+    ///
+    /// A process that called itself ready at once would let a rolling restart go on while it grants
+    /// nothing yet; with the next one down, no majority would be left.
+    pub fn is_ready(&self, now: Time) -> bool {
+        let held = |backend| self.register.holder(now, backend).is_some();
+        let late = now >= self.started + self.options.lease.term * 2;
+        self.is_settled(now) && (late || self.places.keys().all(held))
+    }
+
     /// Whether this process may send work to `backend`.
     pub fn hold(&self, now: Time, backend: &id::Backend) -> Hold {
         let Some(place) = self.places.get(backend) else {
--- a/crates/lentillift-operator/src/server.rs
+++ b/crates/lentillift-operator/src/server.rs
@@ -27,6 +27,8 @@
     metrics: Metrics,
     timeline: Timeline,
     ready: bool,
+    /// Whether the backend servers that are to be owned here have owners.
+    settled: bool,
     status: serde_json::Value,
 }
 
@@ -46,6 +48,7 @@
             metrics: Metrics::default(),
             timeline: Timeline::default(),
             ready: false,
+            settled: false,
             status: serde_json::Value::Null,
         };
         Self {
@@ -77,9 +80,15 @@
         self.lock().ready = ready;
     }
 
+    /// Sets whether the leases of this process are in order; until then it is not ready either.
+    pub fn set_settled(&self, settled: bool) {
+        self.lock().settled = settled;
+    }
+
     /// Whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.lock().ready
+        let state = self.lock();
+        state.ready && state.settled
     }
 
     /// Sets what `/status` returns.
--- a/crates/lentilliftd/src/owner.rs
+++ b/crates/lentilliftd/src/owner.rs
@@ -137,6 +137,7 @@
                     let now = self.clock.now();
                     let effects = self.tenure.tick(now);
                     self.keep(now, effects).await;
+                    self.board.set_settled(self.tenure.is_ready(now));
                 }
                 () = until(self.clock, wake) => {
                     self.handle(self.clock.now(), Event::Tick).await;
