--- a/crates/lentillift-fleet/src/lib.rs
+++ b/crates/lentillift-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod probe;
 pub mod read;
 pub mod rendezvous;
+pub mod seen;
 pub mod sync;
 pub mod tenure;
 pub mod value;
--- a/crates/lentillift-node/src/lib.rs
+++ b/crates/lentillift-node/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod lease;
 pub mod link;
 pub mod message;
+mod mirror;
 pub mod once;
 pub mod wire;
--- a/crates/lentillift-owner/src/core/hold.rs
+++ b/crates/lentillift-owner/src/core/hold.rs
@@ -45,9 +45,9 @@
             return self.pump(now, backend);
         }
         let mut effects = Vec::new();
-        while let Some(server) = self.servers.get_mut(backend)
-            && let Some((_, _, waiting)) = server.queue.pop(true)
-        {
+        let server = self.servers.get_mut(backend);
+        let waiting = server.map_or_else(Vec::new, |server| server.queue.drain());
+        for waiting in waiting {
             effects.push(self.pass_on(now, waiting));
         }
         self.set_wake(backend);
--- a/crates/lentillift-settings/src/placement.rs
+++ b/crates/lentillift-settings/src/placement.rs
@@ -1,11 +1,13 @@
 //! Where a service's data is: its backend servers and its snapshots' shard maps.
 
+use crate::review;
+use crate::shape::Shape;
+use crate::shape::required;
 use lentillift_core::id;
 use lentillift_core::snapshot::Map;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// Published state of a backend server or of a host.
@@ -45,21 +47,34 @@
 impl Placement {
     /// All that makes the placement unfit to be in force.
     pub fn faults(&self) -> Vec<String> {
-        let mut faults = Vec::new();
-        for map in &self.maps {
-            let mut shards = BTreeSet::new();
-            for part in &map.parts {
-                let place = format!("maps[snapshot {}].shard {}", map.snapshot, part.shard);
-                if !shards.insert(part.shard) {
-                    faults.push(format!("{place}: found twice, once is right"));
-                }
-                for backend in &part.replicas {
-                    if !self.servers.contains_key(backend) {
-                        faults.push(format!("{place}.replicas: no backend server `{backend}`"));
-                    }
-                }
-            }
-        }
-        faults
+        // The type holds nothing that JSON could not.
+        let value = serde_json::to_value(self).unwrap_or_default();
+        let faults = review::placement(&value).into_iter();
+        faults.map(|fault| fault.to_string()).collect()
     }
 }
+
+/// The shape of a placement.
+pub const SHAPE: Shape = Shape::Record(&[
+    required("revision", review::REVISION),
+    required("servers", Shape::Map(&SERVER)),
+    required("maps", Shape::List(&MAP)),
+]);
+
+/// The shape of a backend server or a host as the platform publishes it.
+pub(crate) const SERVER: Shape = Shape::Record(&[
+    required("address", Shape::Address),
+    required("domain", Shape::Name),
+    required("state", Shape::Choice(&["live", "leaving"])),
+]);
+
+const MAP: Shape = Shape::Record(&[
+    required("snapshot", Shape::Whole(0, u64::MAX)),
+    required("parts", Shape::List(&PART)),
+]);
+
+const PART: Shape = Shape::Record(&[
+    required("shard", Shape::Whole(0, u32::MAX as u64)),
+    required("weight", Shape::Whole(0, u64::MAX)),
+    required("replicas", Shape::List(&Shape::Name)),
+]);
--- a/crates/lentilliftd/src/lib.rs
+++ b/crates/lentilliftd/src/lib.rs
@@ -10,4 +10,6 @@
 pub mod once;
 pub mod owner;
 pub mod peers;
+mod report;
 pub mod tenure;
+mod trace;
--- a/crates/lentilliftd/src/owner.rs
+++ b/crates/lentilliftd/src/owner.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::until;
 use crate::peers::Peers;
+use crate::report;
 use crate::tenure;
 use lentillift_backend::client;
 use lentillift_backend::client::Client;
@@ -97,6 +98,7 @@
         mail: mpsc::Sender<Mail>,
     ) -> Self {
         let options = lentillift_fleet::tenure::Options::default();
+        board.set_settled(false);
         Self {
             owner: Owner::new(),
             tenure: Tenure::new(clock.now(), me.host.clone(), me.incarnation, options),
@@ -119,9 +121,15 @@
     ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut reports = report::times();
         loop {
             let wake = self.owner.next_wake();
             tokio::select! {
+                _ = reports.tick() => {
+                    let now = self.clock.now();
+                    report::owner(&self.board, now, &self.view, &self.owner);
+                    continue;
+                }
                 received = mail.recv() => match received {
                     Some(received) => self.open(received).await,
                     None => return,
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Gives up the link to a process that is held to be over.
+    pub async fn lose(&self, peer: Peer) {
+        self.hub.lose(peer).await;
+    }
+
     fn address(&self, host: &id::Host) -> Option<std::net::SocketAddr> {
         Some(self.view.borrow().hosts.get(host)?.address)
     }
@@ -156,9 +161,6 @@
                 };
                 self.once(event).await;
             }
-            Message::Sync(message) => {
-                let _ = self.fleet.send(fleet::Mail::Message(from, message)).await;
-            }
             Message::Settled { request, settled } => {
                 let event = once::Event::Settled {
                     from,
@@ -172,6 +174,9 @@
             }
             Message::Handover(parcel) => self.once(once::Event::Handover { from, parcel }).await,
             Message::Taken { number } => self.once(once::Event::Taken { number }).await,
+            Message::Sync(message) => {
+                let _ = self.fleet.send(fleet::Mail::Message(from, message)).await;
+            }
         }
     }
 
