--- a/crates/lentilliftd/src/main.rs
+++ b/crates/lentilliftd/src/main.rs
@@ -52,6 +52,10 @@
   lentilliftd --settings lentilliftd.jsonc --log json
       Log lines as JSON. RUST_LOG=debug shows more.
 
+Environment:
+  RUST_LOG          which log lines are written, such as debug or warn
+  LENTILLIFT_TRACE  directory for traces of this process's decisions, to be replayed
+
 Exit codes:
   0  ended as asked, or the settings are right
   1  it could not run
