--- a/crates/lentillift-operator/src/board.rs
+++ b/crates/lentillift-operator/src/board.rs
@@ -27,14 +27,14 @@
     timeline: Timeline,
     trend: Trend,
     ready: bool,
-    /// Whether the backend servers that are to be owned here have owners.
-    settled: bool,
+    /// Whether backend servers that are to be owned here may still be without owners.
+    unsettled: bool,
     sections: BTreeMap<&'static str, (Time, Value)>,
 }
 
 impl State {
     fn is_ready(&self) -> bool {
-        self.ready && self.settled
+        self.ready && !self.unsettled
     }
 }
 
@@ -106,7 +106,7 @@
 
     /// Sets whether the leases of this process are in order; without that it is not ready either.
     pub fn set_settled(&self, settled: bool) {
-        self.change(|state| state.settled = settled);
+        self.change(|state| state.unsettled = !settled);
     }
 
     /// Changes the state and notes whether that changed readiness.
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -1,7 +1,7 @@
 //! What each series means, for Prometheus' `# HELP` lines.
 
 /// Series and their meanings.
-const HELP: [(&str, &str); 39] = [
+const HELP: [(&str, &str); 40] = [
     (
         "lentillift_actions_total",
         "Requests that may run at most once, by outcome.",
--- a/crates/lentillift/tests/operating.rs
+++ b/crates/lentillift/tests/operating.rs
@@ -171,7 +171,10 @@
         let number = revision.to_string();
         let output = self.run(&["status", "--wait-revision", &number]);
         assert_eq!(output.status.code(), Some(0), "{output:?}");
-        // Leases come a term after the revision; a process is not ready before.
+    }
+
+    /// Waits until all processes serve callers, which takes a lease's term from their start.
+    fn wait_ready(&self) {
         let ready = || {
             let status = self.json(&["status", "--json"]);
             let nodes = status["fleet"]["nodes"].as_array().expect("nodes").clone();
@@ -216,6 +219,7 @@
 fn a_query_and_the_service_it_is_counted_for() {
     let fleet = start();
     fleet.wait(1);
+    fleet.wait_ready();
     let answered = fleet.query("clerks", &["--allowance-ms", "5000"]);
     assert_eq!(answered.status.code(), Some(0), "{answered:?}");
     let said = text(&answered.stdout);
