--- a/crates/lentillift-policy/src/share.rs
+++ b/crates/lentillift-policy/src/share.rs
@@ -45,6 +45,9 @@
 }
 
 impl Shares {
+    /// Bytes that a caller takes, its name's pointer included.
+    pub const BYTES: usize = size_of::<(id::Caller, Usage)>();
+
     /// Notes something that is served to a caller.
     pub fn note(&mut self, now: Time, caller: &id::Caller, weight: u32, cost: f64) {
         let cost = cost / MEMORY;
@@ -86,6 +89,16 @@
         self.rate(now, caller) / self.rate / self.share(caller)
     }
 
+    /// How many callers are remembered.
+    pub fn len(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Whether no caller is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.callers.is_empty()
+    }
+
     /// Adds everything up, and forgets callers that are gone.
     fn count(&mut self, now: Time) {
         self.round = now;
--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -64,6 +64,9 @@
 /// Longest wait for callers under way; more than the largest allowance that is usual.
 const CALLERS: Duration = Duration::from_secs(15);
 
+/// Time for requests that were passed here from elsewhere, before their ids are handed over.
+const IDS: Duration = Duration::from_secs(2);
+
 /// The listening sockets of a process.
 #[derive(Debug)]
 pub struct Sockets {
@@ -124,6 +127,7 @@
     callers: JoinHandle<()>,
     fleet: mpsc::Sender<fleet::Mail>,
     owner: mpsc::Sender<owner::Mail>,
+    once: mpsc::Sender<once::Mail>,
     /// What the process tells its operators.
     pub board: Board,
     /// What the process holds to be true of the fleet.
@@ -214,7 +218,7 @@
         tokio::spawn(operators);
 
         let (calls, for_desks) = mpsc::channel(QUEUE);
-        tokio::spawn(pass_calls(for_desks, entry_mail, once_mail));
+        tokio::spawn(pass_calls(for_desks, entry_mail, once_mail.clone()));
         let first = rng(incarnation).random::<id::Request>() >> 1;
         let callers =
             lentillift_caller::server::serve(sockets.caller, options, stopped, calls, first);
@@ -223,6 +227,7 @@
             callers: tokio::spawn(callers),
             fleet: fleet_mail,
             owner: leave,
+            once: once_mail,
             board,
             view: seen,
         }
@@ -244,6 +249,11 @@
         let _ = tokio::join!(notice, handed);
         self.stop.send_replace(true);
         let _ = tokio::time::timeout(CALLERS, self.callers).await;
+        // After the callers, who would else be told to take a new id.
+        let (left, handed) = oneshot::channel();
+        let within = IDS;
+        let _ = self.once.send(once::Mail::Leave { within, left }).await;
+        let _ = handed.await;
         let (told, heard) = oneshot::channel();
         let _ = self.fleet.send(fleet::Mail::End(told)).await;
         let _ = tokio::time::timeout(HAND_OVER, heard).await;
--- a/crates/lentilliftd/src/owner.rs
+++ b/crates/lentilliftd/src/owner.rs
@@ -234,7 +234,7 @@
                 self.peers.send(&to, Message::Forward { from, sub }).await;
             }
             Effect::Note { backend, change } => {
-                self.board.event("backend", &backend, change.to_string());
+                report::backend(&self.board, &self.view, &backend, &change.to_string());
             }
         }
     }
