--- a/crates/lentillift-owner/src/server.rs
+++ b/crates/lentillift-owner/src/server.rs
@@ -8,6 +8,7 @@
 use lentillift_core::sub::Load;
 use lentillift_core::sub::Report;
 use lentillift_core::time::Time;
+use lentillift_fleet::tenure::Transfer;
 use lentillift_policy::count::Name;
 use lentillift_policy::health;
 use lentillift_policy::health::Health;
@@ -96,7 +97,9 @@
     pub slots: Slots,
     /// What its own results say of it.
     pub health: Health,
-    // INVARIANT: Never made longer while as long as the limit in force.
+    /// Requests that it still has from the holder before, and when the last of them is over.
+    inherited: (u32, Time),
+    // INVARIANT: Never made longer while it and `inherited` make up the limit in force.
     running: Vec<Running>,
     latency: Latency,
     incarnation: Option<id::Incarnation>,
@@ -112,6 +115,7 @@
             warmup: Warmup::new(&policy.warmup, service.cold_slots, service.slots),
             slots: Slots::new(service.slots),
             health: Health::default(),
+            inherited: (0, Time::ZERO),
             running: Vec::new(),
             latency: Latency::default(),
             incarnation: None,
@@ -148,7 +152,33 @@
 
     /// Whether one more request may be sent now.
     pub fn has_room(&self, policy: &Policy, now: Time) -> bool {
-        self.in_flight() < self.limit(policy, now)
+        self.occupied(now) < self.limit(policy, now)
+    }
+
+    /// Requests in flight, those of the holder before included.
+    pub fn occupied(&self, now: Time) -> u32 {
+        let (count, over) = self.inherited;
+        self.in_flight() + if now < over { count } else { 0 }
+    }
+
+    /// When the last request of the holder before is over.
+    pub fn inherited_until(&self) -> Time {
+        self.inherited.1
+    }
+
+    /// Starts anew with a lease: cold, or as the holder before has left it.
+    pub fn adopt(
+        &mut self,
+        policy: &Policy,
+        now: Time,
+        service: &Service,
+        transfer: Option<&Transfer>,
+    ) {
+        self.warmup = Warmup::new(&policy.warmup, service.cold_slots, service.slots);
+        if let Some(transfer) = transfer {
+            self.warmup.resume(transfer.limit);
+            self.inherited = (transfer.in_flight, now + transfer.left);
+        }
     }
 
     /// The slot that the next request would get.
