--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -81,6 +81,16 @@
 
 /// Opens a listener and a datagram socket at one port.
 async fn open_node(address: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
+    // The others are told this address. Nobody could reach `0.0.0.0`, and the process would stay
+    // cut off while everything else about it looks well.
+    if address.ip().is_unspecified() {
+        let cause = "found no particular address, one by which the others reach this host is right";
+        return Err(Error::new(
+            Step::Check,
+            format!("node_address {address}"),
+            cause,
+        ));
+    }
     let mut tries = 0;
     loop {
         tries += 1;
