--- a/crates/lentillift-entry/benches/decisions.rs
+++ b/crates/lentillift-entry/benches/decisions.rs
@@ -11,6 +11,7 @@
 use lentillift_entry::answer::Ask;
 use lentillift_entry::core as entry;
 use lentillift_entry::core::Entry;
+use lentillift_fleet::tenure::Hold;
 use lentillift_fleet::view::View;
 use lentillift_owner::core as owner;
 use lentillift_owner::core::Owner;
@@ -165,8 +166,13 @@
 /// An owner of all backend servers, which is more than any will have.
 fn owner(c: &mut Criterion) {
     for (shards, hosts) in SIZES {
-        let mut owner = Owner::new("h0".into());
-        owner.handle(NOW, owner::Event::View(view(shards, 1)));
+        let mut owner = Owner::new();
+        let view = view(shards, 1);
+        owner.handle(NOW, owner::Event::View(view.clone()));
+        for backend in view.backends.keys().cloned() {
+            let hold = Hold::Until(Duration::MAX);
+            owner.handle(NOW, owner::Event::Hold { backend, hold });
+        }
         let from: id::Host = "h1".into();
         let mut id = 0;
         c.bench_function(
--- a/crates/lentillift-node/src/wire.rs
+++ b/crates/lentillift-node/src/wire.rs
@@ -3,6 +3,9 @@
 //! These types are apart from those the program works with, so that neither binds the other.
 
 use crate::gossip;
+use crate::lease::Claim;
+use crate::lease::Transfer;
+use crate::lease::Verdict;
 use crate::message;
 use crate::mirror::mirror;
 use crate::once::Parcel;
@@ -34,6 +37,18 @@
     Handover(Parcel),
     /// See [`message::Message::Taken`].
     Taken(u64),
+    /// See [`message::Message::Forward`].
+    Forward(String, Sub),
+    /// See [`message::Message::Claims`].
+    Claims(u64, Vec<Claim>),
+    /// See [`message::Message::Verdicts`].
+    Verdicts(u64, Vec<(String, u64, Verdict)>),
+    /// See [`message::Message::Release`].
+    Release(Vec<(String, u64)>),
+    /// See [`message::Message::Cede`].
+    Cede(Transfer),
+    /// See [`message::Message::Ceded`].
+    Ceded(String),
     /// See [`message::Message::Sync`].
     Sync(gossip::Sync),
 }
@@ -151,6 +166,23 @@
             message::Message::NotHome { request } => Self::NotHome(request),
             message::Message::Handover(parcel) => Self::Handover(parcel.into()),
             message::Message::Taken { number } => Self::Taken(number),
+            message::Message::Forward { from, sub } => Self::Forward(from.to_string(), sub.into()),
+            message::Message::Claims { sent, claims } => Self::Claims(
+                sent.as_micros() as u64,
+                claims.into_iter().map(Claim::from).collect(),
+            ),
+            message::Message::Verdicts { sent, verdicts } => {
+                let verdicts = verdicts.into_iter();
+                let verdicts =
+                    verdicts.map(|(name, number, v)| (name.to_string(), number, v.into()));
+                Self::Verdicts(sent.as_micros() as u64, verdicts.collect())
+            }
+            message::Message::Release(released) => {
+                let released = released.into_iter();
+                Self::Release(released.map(|(name, n)| (name.to_string(), n)).collect())
+            }
+            message::Message::Cede(transfer) => Self::Cede(transfer.into()),
+            message::Message::Ceded(backend) => Self::Ceded(backend.to_string()),
             message::Message::Sync(message) => Self::Sync(message.into()),
         }
     }
@@ -180,6 +212,28 @@
             Message::NotHome(request) => Self::NotHome { request },
             Message::Handover(parcel) => Self::Handover(parcel.into()),
             Message::Taken(number) => Self::Taken { number },
+            Message::Forward(from, sub) => Self::Forward {
+                from: from.into(),
+                sub: sub.into(),
+            },
+            Message::Claims(sent, claims) => Self::Claims {
+                sent: Duration::from_micros(sent),
+                claims: claims.into_iter().map(Into::into).collect(),
+            },
+            Message::Verdicts(sent, verdicts) => {
+                let verdicts = verdicts.into_iter();
+                let verdicts = verdicts.map(|(name, number, v)| (name.into(), number, v.into()));
+                Self::Verdicts {
+                    sent: Duration::from_micros(sent),
+                    verdicts: verdicts.collect(),
+                }
+            }
+            Message::Release(released) => {
+                let released = released.into_iter();
+                Self::Release(released.map(|(name, n)| (name.into(), n)).collect())
+            }
+            Message::Cede(transfer) => Self::Cede(transfer.into()),
+            Message::Ceded(backend) => Self::Ceded(backend.into()),
             Message::Sync(message) => Self::Sync(message.try_into()?),
         })
     }
--- a/crates/lentillift-owner/src/core.rs
+++ b/crates/lentillift-owner/src/core.rs
@@ -1,5 +1,6 @@
 //! All backend servers that this process owns.
 
+mod hold;
 mod intake;
 mod refit;
 
@@ -15,6 +16,8 @@
 use lentillift_core::sub::Report;
 use lentillift_core::sub::Sub;
 use lentillift_core::time::Time;
+use lentillift_fleet::tenure::Hold;
+use lentillift_fleet::tenure::Transfer;
 use lentillift_fleet::view::View;
 use lentillift_policy::cost::Costs;
 use lentillift_policy::count::Counts;
@@ -26,6 +29,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use hold::Standing;
 pub use lentillift_policy::queue::Ticket;
 
 /// What happens to an owner.
@@ -58,6 +62,20 @@
     Tick,
     /// The view of the fleet changed.
     View(Arc<View>),
+    /// What this process's lease on a backend server allows has changed.
+    Hold {
+        /// The backend server.
+        backend: id::Backend,
+        /// What may be done with it.
+        hold: Hold,
+    },
+    /// This process has got a lease on a backend server that it had none on.
+    Acquired {
+        /// The backend server.
+        backend: id::Backend,
+        /// What the holder before passed on, if it handed over.
+        transfer: Option<Transfer>,
+    },
 }
 
 /// What an owner wants done.
@@ -92,6 +110,15 @@
         /// The backend server's load, if it is owned here.
         load: Option<Load>,
     },
+    /// Pass a sub-request on to the host that holds its backend server.
+    Forward {
+        /// The host that holds it.
+        to: id::Host,
+        /// The host whose entry sent the sub-request.
+        from: id::Host,
+        /// The sub-request, with the time that it has left.
+        sub: Sub,
+    },
     /// Tell operators of a change of state.
     Note {
         /// The backend server.
@@ -102,14 +129,17 @@
 }
 
 /// All backend servers that this process owns.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Owner {
-    host: id::Host,
     view: Arc<View>,
     config: Option<Arc<Config>>,
     policy: Policy,
-    // INVARIANT: Holds no server that the view does not give to this host, but for those with a
-    // request in flight.
+    /// What the leases of this process allow; what is not here may not be touched.
+    holds: HashMap<id::Backend, Hold>,
+    /// When the last requests sent to each backend server are over.
+    ends: HashMap<id::Backend, Time>,
+    // INVARIANT: Holds no server that this process has no lease on, but for those with a request in
+    // flight.
     servers: HashMap<id::Backend, Server>,
     costs: HashMap<id::Service, Costs>,
     flights: HashMap<Ticket, Flight>,
@@ -123,21 +153,9 @@
 }
 
 impl Owner {
-    /// Starts without a view, hence owning nothing.
-    pub fn new(host: id::Host) -> Self {
-        Self {
-            host,
-            view: Arc::default(),
-            config: None,
-            policy: Policy::default(),
-            servers: HashMap::new(),
-            costs: HashMap::new(),
-            flights: HashMap::new(),
-            tickets: HashMap::new(),
-            wakes: BTreeSet::new(),
-            next_ticket: 0,
-            counts: Counts::default(),
-        }
+    /// Starts without a view and without leases, hence owning nothing.
+    pub fn new() -> Self {
+        Self::default()
     }
 
     /// Takes in an event and says what to do about it.
@@ -152,6 +170,11 @@
             } => self.done(now, ticket, result, &report),
             Event::Tick => self.tick(now),
             Event::View(view) => self.refit(now, view),
+            Event::Hold { backend, hold } => self.set_hold(now, &backend, hold),
+            Event::Acquired { backend, transfer } => {
+                self.adopt(now, &backend, transfer);
+                Vec::new()
+            }
         }
     }
 
@@ -222,7 +245,9 @@
         {
             effects.push(self.refuse(now, waiting, Failure::Refused));
         }
-        while let Some(server) = self.servers.get_mut(backend)
+        // Without a lease what waits stays, until the lease is back or known to be lost.
+        while self.lease(now, backend).is_some()
+            && let Some(server) = self.servers.get_mut(backend)
             && server.has_room(&self.policy, now)
             && let slot = server.slot(&self.policy, now)
             && let Some(turn) = server.queue.pop(&self.policy.queue, now, slot)
@@ -244,6 +269,14 @@
         if let Some(failure) = failure {
             return self.refuse(now, waiting, failure);
         }
+        // After the lease another process may send the full limit, so nothing of this one may be
+        // under way then. It would show as more requests in flight than the server bears.
+        let Some(until) = self.lease(now, &waiting.sub.backend) else {
+            return self.refuse(now, waiting, Failure::NotOwner);
+        };
+        let end = waiting.deadline.min(until);
+        let last = self.ends.entry(waiting.sub.backend.clone()).or_default();
+        *last = end.max(*last);
         if let Some(server) = self.servers.get_mut(&waiting.sub.backend) {
             server.sent(ticket, now, turn.heavy);
         }
@@ -260,7 +293,7 @@
         self.flights.insert(ticket, flight);
         Effect::Dispatch {
             ticket,
-            left: waiting.deadline - now,
+            left: end - now,
             sub: waiting.sub,
         }
     }
