--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -253,7 +253,7 @@
         let (left, handed) = oneshot::channel();
         let within = IDS;
         let _ = self.once.send(once::Mail::Leave { within, left }).await;
-        let _ = handed.await;
+        let _ = tokio::time::timeout(IDS + HAND_OVER, handed).await;
         let (told, heard) = oneshot::channel();
         let _ = self.fleet.send(fleet::Mail::End(told)).await;
         let _ = tokio::time::timeout(HAND_OVER, heard).await;
