--- a/crates/lentillift-fleet/src/view.rs
+++ b/crates/lentillift-fleet/src/view.rs
@@ -1,5 +1,6 @@
 //! What one process holds to be true of the fleet at a point in time.
 
+use crate::guardian;
 use crate::rendezvous;
 use crate::seen::Seen;
 use lentillift_core::id;
@@ -13,6 +14,7 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -34,7 +36,9 @@
     pub service: id::Service,
     /// What the platform publishes about it.
     pub server: Server,
-    /// The host that owns it, if any host is alive.
+    /// The hosts whose majority says who owns it, those that should own it first.
+    pub guardians: Vec<id::Host>,
+    /// The host that should own it: its first guardian that is alive and in service.
     pub owner: Option<id::Host>,
 }
 
@@ -140,6 +144,11 @@
         }
     }
 
+    /// Whether operators have taken a host, or its failure domain, out of service.
+    pub fn is_out(&self, host: &id::Host) -> bool {
+        is_out(&self.values, host)
+    }
+
     /// Derives the view that follows this one, with new values if there are any.
     pub fn follow(&self, values: Option<&Values>, hosts: BTreeMap<id::Host, Host>) -> Self {
         let generation = self.generation + 1;
@@ -189,16 +198,45 @@
 }
 
 fn backends(values: &Values, alive: &[id::Host]) -> HashMap<id::Backend, Backend> {
+    let able = alive.iter().filter(|host| !is_out(values, host));
+    let able: HashSet<&id::Host> = able.collect();
     let mut backends = HashMap::new();
     for (service, placement) in &values.placements {
         for (name, server) in &placement.servers {
+            let guardians = guardians(values, alive, name, &server.domain);
             let backend = Backend {
                 service: service.clone(),
                 server: server.clone(),
-                owner: rendezvous::choose(name, alive).cloned(),
+                owner: guardians.iter().find(|host| able.contains(host)).cloned(),
+                guardians,
             };
             backends.insert(name.clone(), backend);
         }
     }
     backends
 }
+
+/// The guardians of a backend server; without a published list, one of the hosts known otherwise.
+fn guardians(
+    values: &Values,
+    alive: &[id::Host],
+    backend: &str,
+    domain: &id::Domain,
+) -> Vec<id::Host> {
+    let Some(roster) = &values.roster else {
+        let chosen = rendezvous::choose(backend, alive);
+        return chosen.cloned().into_iter().collect();
+    };
+    let mut guardians = guardian::choose(backend, roster);
+    guardian::prefer(&mut guardians, roster, domain);
+    guardians
+}
+
+fn is_out(values: &Values, host: &id::Host) -> bool {
+    let Some(config) = &values.config else {
+        return false;
+    };
+    let entry = values.roster.as_ref().and_then(|list| list.hosts.get(host));
+    config.hosts_out.contains(host)
+        || entry.is_some_and(|entry| config.domains_out.contains(&entry.domain))
+}
--- a/crates/lentillift/tests/operating.rs
+++ b/crates/lentillift/tests/operating.rs
@@ -28,6 +28,8 @@
 use std::path::Path;
 use std::process::Command;
 use std::process::Output;
+use std::time::Duration;
+use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
@@ -172,6 +174,20 @@
         let output = self.run(&["status", "--wait-revision", &number]);
         assert_eq!(output.status.code(), Some(0), "{output:?}");
     }
+
+    /// Waits until all processes serve callers, which takes a lease's term from their start.
+    fn wait_ready(&self) {
+        let ready = || {
+            let status = self.json(&["status", "--json"]);
+            let nodes = status["fleet"]["nodes"].as_array().expect("nodes").clone();
+            nodes.iter().all(|node| node["ready"] == true)
+        };
+        let since = Instant::now();
+        while !ready() {
+            assert!(since.elapsed() < Duration::from_secs(60), "not ready");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
 }
 
 fn text(bytes: &[u8]) -> String {
@@ -212,6 +228,7 @@
 fn a_query_and_the_service_it_is_counted_for() {
     let fleet = start();
     fleet.wait(1);
+    fleet.wait_ready();
     let answered = fleet.query("clerks", &["--allowance-ms", "5000"]);
     assert_eq!(answered.status.code(), Some(0), "{answered:?}");
     let said = text(&answered.stdout);
