--- a/crates/lentillift/src/command/timeline.rs
+++ b/crates/lentillift/src/command/timeline.rs
@@ -101,7 +101,6 @@
         ("service", note.service.as_deref()),
         ("backend", note.backend.as_deref()),
         ("request", note.request.as_deref()),
-        ("token", note.token.as_deref()),
         ("from", note.from.as_deref()),
     ];
     for (name, value) in details {
