--- a/crates/lentillift-fleet/src/rendezvous.rs
+++ b/crates/lentillift-fleet/src/rendezvous.rs
@@ -11,11 +11,32 @@
 
 /// Weight of `host` for `key`; the host with the highest weight is chosen.
 pub fn weight(key: &str, host: &str) -> u64 {
-    let mut bytes = Vec::with_capacity(key.len() + host.len() + 1);
-    bytes.extend_from_slice(key.as_bytes());
-    bytes.push(0);
-    bytes.extend_from_slice(host.as_bytes());
-    XxHash64::oneshot(SEED, &bytes)
+    Key::new(key).weight(host)
+}
+
+/// A key whose hosts are weighed one after the other.
+///
+/// It keeps its buffer: to make one for each pair would take most of the time that a view of 4,600
+/// backend servers and 760 hosts takes to draw.
+struct Key {
+    bytes: Vec<u8>,
+    /// Bytes of the key and what parts it from the host.
+    length: usize,
+}
+
+impl Key {
+    fn new(key: &str) -> Self {
+        let mut bytes = key.as_bytes().to_vec();
+        bytes.push(0);
+        let length = bytes.len();
+        Self { bytes, length }
+    }
+
+    fn weight(&mut self, host: &str) -> u64 {
+        self.bytes.truncate(self.length);
+        self.bytes.extend_from_slice(host.as_bytes());
+        XxHash64::oneshot(SEED, &self.bytes)
+    }
 }
 
 /// The host with the highest weight for `key`.
@@ -23,7 +44,8 @@
 where
     I: IntoIterator<Item = &'a id::Host>,
 {
+    let mut key = Key::new(key);
     hosts
         .into_iter()
-        .max_by_key(|host| (weight(key, host), *host))
+        .max_by_key(|host| (key.weight(host), *host))
 }
