--- a/crates/lentillift-node/src/lib.rs
+++ b/crates/lentillift-node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod frame;
 pub mod gossip;
 pub mod hub;
+pub mod lease;
 pub mod link;
 pub mod message;
 mod mirror;
--- a/crates/lentillift-node/src/message.rs
+++ b/crates/lentillift-node/src/message.rs
@@ -5,7 +5,12 @@
 use lentillift_core::sub::Desk;
 use lentillift_core::sub::Load;
 use lentillift_core::sub::Sub;
+use lentillift_core::time::Time;
+use lentillift_fleet::grant::Attempt;
+use lentillift_fleet::grant::Claim;
+use lentillift_fleet::grant::Verdict;
 use lentillift_fleet::sync;
+use lentillift_fleet::tenure::Transfer;
 use lentillift_once::record::Parcel;
 use lentillift_once::submit::Settled;
 use lentillift_once::submit::Submit;
@@ -54,6 +59,33 @@
         /// The parcel's number.
         number: u64,
     },
+    /// A process passes a sub-request on to the host that it knows to hold the backend server.
+    Forward {
+        /// The host whose entry sent it, and which gets the result.
+        from: id::Host,
+        /// The sub-request.
+        sub: Sub,
+    },
+    /// A process claims backend servers from one of their guardians.
+    Claims {
+        /// When it was sent, by the sender's clock; the answer brings it back.
+        sent: Time,
+        /// The claims.
+        claims: Vec<Claim>,
+    },
+    /// A guardian answers claims.
+    Verdicts {
+        /// When the claims were sent, as they said.
+        sent: Time,
+        /// The answers.
+        verdicts: Vec<(id::Backend, Attempt, Verdict)>,
+    },
+    /// A process gives grants back.
+    Release(Vec<(id::Backend, Attempt)>),
+    /// A holder hands a backend server over; it sends nothing more to it.
+    Cede(Transfer),
+    /// A successor has taken a backend server over.
+    Ceded(id::Backend),
     /// About hosts and values.
     Sync(sync::Message),
 }
--- a/crates/lentillift-operator/src/board.rs
+++ b/crates/lentillift-operator/src/board.rs
@@ -27,9 +27,17 @@
     timeline: Timeline,
     trend: Trend,
     ready: bool,
+    /// Whether backend servers that are to be owned here may still be without owners.
+    unsettled: bool,
     sections: BTreeMap<&'static str, (Time, Value)>,
 }
 
+impl State {
+    fn is_ready(&self) -> bool {
+        self.ready && !self.unsettled
+    }
+}
+
 /// Where the tasks of a process leave what operators may want to know.
 ///
 /// Tasks add to it on their way; each call holds the lock for a look-up and an addition. What
@@ -93,7 +101,21 @@
 
     /// Sets whether the balancer may send callers here; a change goes to the time line.
     pub fn set_ready(&self, ready: bool) {
-        let was = std::mem::replace(&mut self.lock().ready, ready);
+        self.change(|state| state.ready = ready);
+    }
+
+    /// Sets whether the leases of this process are in order; without that it is not ready either.
+    pub fn set_settled(&self, settled: bool) {
+        self.change(|state| state.unsettled = !settled);
+    }
+
+    /// Changes the state and notes whether that changed readiness.
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        let mut state = self.lock();
+        let was = state.is_ready();
+        change(&mut state);
+        let ready = state.is_ready();
+        drop(state);
         if was != ready {
             let detail = match ready {
                 true => "serves callers",
@@ -105,7 +127,7 @@
 
     /// Whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.lock().ready
+        self.lock().is_ready()
     }
 
     /// Sets a section of what `/status` returns; each task has its own.
@@ -122,7 +144,7 @@
     pub fn metrics(&self) -> String {
         let now = self.clock.now();
         let mut state = self.lock();
-        let ready = u8::from(state.ready);
+        let ready = u8::from(state.is_ready());
         state.metrics.set("lentillift_ready", &[], ready.into());
         state.metrics.text(now)
     }
@@ -139,7 +161,7 @@
         Status {
             host: self.host.clone(),
             incarnation: self.incarnation,
-            ready: state.ready,
+            ready: state.is_ready(),
             uptime_s: now.as_secs(),
             ages_ms: ages.collect(),
             sections: sections
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -50,6 +50,10 @@
         "lentillift_coalesced_total",
         "Queries that shared the run of an identical one.",
     ),
+    (
+        "lentillift_claims_total",
+        "Leases claimed or renewed, counted once for each guardian asked.",
+    ),
     (
         "lentillift_datagram_bytes_total",
         "Bytes in datagrams of the membership protocol, by direction.",
--- a/crates/lentillift-policy/src/warmup.rs
+++ b/crates/lentillift-policy/src/warmup.rs
@@ -74,6 +74,11 @@
         self.limit == self.warm
     }
 
+    /// Goes on where another owner has left off.
+    pub fn resume(&mut self, limit: u32) {
+        self.limit = limit.clamp(self.cold, self.warm);
+    }
+
     /// Takes in newly published limits; a higher one has to be earned.
     pub fn set_limits(&mut self, options: &Options, cold: u32, warm: u32) {
         if (self.cold, self.warm) != (cold.min(warm), warm) {
--- a/crates/lentilliftd/src/lib.rs
+++ b/crates/lentilliftd/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod owner;
 pub mod peers;
 mod report;
+pub mod tenure;
 mod trace;
--- a/crates/lentilliftd/src/peers.rs
+++ b/crates/lentilliftd/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::fleet;
 use crate::once;
 use crate::owner;
+use crate::tenure;
 
 /// A way to send messages to any host, this one included.
 #[derive(Debug, Clone)]
@@ -99,7 +100,7 @@
         match inbound {
             Inbound::Received { peer, messages } => {
                 for message in messages {
-                    desks.receive(&peer.host, message).await;
+                    desks.receive(&peer, message).await;
                 }
             }
             Inbound::Undelivered { message, .. } => desks.undelivered(message).await,
@@ -112,12 +113,37 @@
 }
 
 impl Desks {
-    async fn receive(&self, from: &id::Host, message: Message) {
-        let from = from.clone();
+    async fn receive(&self, peer: &Peer, message: Message) {
+        let from = peer.host.clone();
         match message {
             Message::Sub(sub) => {
                 let _ = self.owner.send(owner::Mail::Sub { from, sub }).await;
             }
+            Message::Forward { from, sub } => {
+                let _ = self.owner.send(owner::Mail::Forward { from, sub }).await;
+            }
+            Message::Claims { sent, claims } => {
+                let from = peer.clone();
+                self.lease(tenure::Mail::Claims { from, sent, claims })
+                    .await;
+            }
+            Message::Verdicts { sent, verdicts } => {
+                let mail = tenure::Mail::Verdicts {
+                    from,
+                    sent,
+                    verdicts,
+                };
+                self.lease(mail).await;
+            }
+            Message::Release(released) => {
+                let from = peer.clone();
+                self.lease(tenure::Mail::Release { from, released }).await;
+            }
+            Message::Cede(transfer) => self.lease(tenure::Mail::Cede(transfer)).await,
+            Message::Ceded(backend) => {
+                let by = from;
+                self.lease(tenure::Mail::Ceded { by, backend }).await;
+            }
             Message::Cancel(id) => {
                 let _ = self.owner.send(owner::Mail::Cancel { from, id }).await;
             }
@@ -154,6 +180,10 @@
         }
     }
 
+    async fn lease(&self, mail: tenure::Mail) {
+        let _ = self.owner.send(owner::Mail::Lease(mail)).await;
+    }
+
     async fn once(&self, event: once::Event) {
         let _ = self.once.send(once::Mail::Event(event)).await;
     }
@@ -165,6 +195,9 @@
                 let result = sub::Result::not_run(Failure::Connection);
                 self.result(sub.work.desk(), sub.id, result, None).await;
             }
+            Message::Forward { from, sub } => {
+                self.lease(tenure::Mail::Returned { from, sub }).await;
+            }
             Message::Submit { request, .. } => {
                 self.once(once::Event::Undelivered { request }).await;
             }
@@ -174,6 +207,11 @@
             | Message::Result { .. }
             | Message::Settled { .. }
             | Message::NotHome { .. }
+            | Message::Claims { .. }
+            | Message::Verdicts { .. }
+            | Message::Release(_)
+            | Message::Cede(_)
+            | Message::Ceded(_)
             | Message::Taken { .. } => {}
             // Whoever needs it asks again.
             Message::Sync(_) => {}
--- a/crates/lentilliftd/src/report.rs
+++ b/crates/lentilliftd/src/report.rs
@@ -126,7 +126,7 @@
 }
 
 /// Tells of the backend servers that the host owns.
-pub(crate) fn owner(board: &Board, now: Time, view: &View, host: &id::Host, owner: &Owner) {
+pub(crate) fn owner(board: &Board, now: Time, view: &View, owner: &Owner) {
     let mut section = status::Owner::new();
     let Some(config) = &view.values.config else {
         return;
@@ -136,7 +136,7 @@
         let Some(backend) = view.backends.get(name) else {
             continue;
         };
-        if backend.owner.as_ref() != Some(host) {
+        if !owner.keeps(name) {
             continue;
         }
         let server = status::Server {
