Bound the connections that have not named themselves

Cause: the listener for other processes started a task for each connection without a bound, so that silent connections could use up the file descriptors that backend servers need.

--- a/crates/lentillift-node/src/hub.rs
+++ b/crates/lentillift-node/src/hub.rs
@@ -7,8 +7,11 @@
 use lentillift_core::id;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tracing::info;
@@ -19,6 +22,12 @@
 /// Messages that wait for the hub at most.
 const COMMANDS: usize = 8192;
 
+/// Connections that may be about to exchange names at a time.
+const GREETINGS: usize = 256;
+
+/// Pause after a failed `accept`, for example when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// What the hub tells the rest of the process.
 #[derive(Debug)]
 pub enum Inbound {
@@ -122,13 +131,22 @@
     Handle { commands }
 }
 
+/// Takes connections; only so many at a time may be about to exchange names.
+///
+/// Without the bound, connections that say nothing would pile up until the process is out of file
+/// descriptors and can reach no backend server either. Each gives its place back in time.
 async fn listen(me: Peer, listener: TcpListener, commands: mpsc::Sender<Command>) {
-    loop {
+    let greetings = Arc::new(Semaphore::new(GREETINGS));
+    while let Ok(permit) = greetings.clone().acquire_owned().await {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        tokio::spawn(greet(me.clone(), stream, commands.clone()));
+        let greeting = greet(me.clone(), stream, commands.clone());
+        tokio::spawn(async move {
+            greeting.await;
+            drop(permit);
+        });
     }
 }
 
