--- a/crates/lentillift-entry/tests/bench/mod.rs
+++ b/crates/lentillift-entry/tests/bench/mod.rs
@@ -21,6 +21,7 @@
 use lentillift_core::time::Time;
 use lentillift_entry::core as entry;
 use lentillift_entry::core::Entry;
+use lentillift_fleet::tenure::Hold;
 use lentillift_fleet::view::Values;
 use lentillift_fleet::view::View;
 use lentillift_owner::core as owner;
@@ -126,7 +127,7 @@
             queue: BinaryHeap::new(),
             number: 0,
             entries,
-            owners: hosts.iter().cloned().map(Owner::new).collect(),
+            owners: hosts.iter().map(|_| Owner::new()).collect(),
             wakes: BTreeMap::new(),
             backends,
             streams: Vec::new(),
@@ -157,6 +158,15 @@
                 Duration::ZERO,
                 Event::Entry(host, entry::Event::View(view.clone())),
             );
+            for (name, backend) in view.backends.iter() {
+                let hold = match backend.owner.as_ref() == Some(&self.hosts[host]) {
+                    true => Hold::Until(Duration::MAX),
+                    false => Hold::No(None),
+                };
+                let backend = name.clone();
+                let event = owner::Event::Hold { backend, hold };
+                self.push(Duration::ZERO, Event::Owner(host, event));
+            }
         }
     }
 
@@ -267,7 +277,7 @@
                     let event = entry::Event::Reply { id, result, load };
                     self.push(self.hop(host, to_index), Event::Entry(to_index, event));
                 }
-                owner::Effect::Note { .. } => {}
+                owner::Effect::Forward { .. } | owner::Effect::Note { .. } => {}
             }
         }
         self.count(host);
--- a/crates/lentillift-owner/src/core/refit.rs
+++ b/crates/lentillift-owner/src/core/refit.rs
@@ -29,6 +29,10 @@
         for backend in names {
             effects.extend(self.refit_server(now, &backend));
         }
+        let backends = &self.view.backends;
+        self.holds
+            .retain(|backend, _| backends.contains_key(backend));
+        self.ends.retain(|_, end| now < *end);
         let placements = &self.view.values.placements;
         self.costs
             .retain(|service, _| placements.contains_key(service));
@@ -36,7 +40,7 @@
     }
 
     fn refit_server(&mut self, now: Time, backend: &id::Backend) -> Vec<Effect> {
-        let owned = self.view.owner(backend) == Some(&self.host);
+        let owned = self.keeps(backend);
         let known = self.view.backends.get(backend);
         let service = known.and_then(|known| {
             let config = self.config.as_ref()?;
@@ -65,7 +69,7 @@
 
     /// Drops a server that is not owned here any more, once nothing of it is in flight.
     pub(super) fn drop_if_lost(&mut self, backend: &id::Backend) {
-        let owned = self.view.owner(backend) == Some(&self.host);
+        let owned = self.keeps(backend);
         if !owned && self.servers.get(backend).is_some_and(Server::is_idle) {
             self.servers.remove(backend);
         }
--- a/crates/lentillift-owner/tests/invariants.rs
+++ b/crates/lentillift-owner/tests/invariants.rs
@@ -8,6 +8,7 @@
 use lentillift_core::sub::Sub;
 use lentillift_core::sub::Work;
 use lentillift_core::time::Time;
+use lentillift_fleet::tenure::Hold;
 use lentillift_fleet::view::Values;
 use lentillift_fleet::view::View;
 use lentillift_owner::core::Effect;
@@ -116,7 +117,7 @@
 impl Bench {
     fn new() -> Self {
         let mut bench = Self {
-            owner: Owner::new("h".into()),
+            owner: Owner::new(),
             now: Time::ZERO,
             next: 0,
             open: BTreeMap::new(),
@@ -126,6 +127,12 @@
             out: false,
         };
         bench.handle(Event::View(view(false))).expect("no effect");
+        for backend in ["b0", "b1"] {
+            let backend = backend.into();
+            let hold = Hold::Until(Time::MAX);
+            let held = bench.handle(Event::Hold { backend, hold });
+            held.expect("no effect");
+        }
         bench
     }
 
@@ -217,6 +224,7 @@
                         self.refused.insert(id);
                     }
                 }
+                Effect::Forward { .. } => prop_assert!(false, "held here, and passed on"),
                 Effect::Cancel { .. } | Effect::Note { .. } => {}
             }
         }
--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -8,6 +8,7 @@
 use crate::peers::Desks;
 use crate::peers::Peers;
 use crate::report;
+use crate::tenure;
 use crate::trace;
 use lentillift_caller::call::Call;
 use lentillift_core::error::Error;
@@ -49,6 +50,20 @@
 /// Ports that are tried at most when the system chooses.
 const MOST_TRIES: u32 = 16;
 
+/// Time between failing readiness and taking no more callers.
+///
+/// Two looks of a balancer that looks twice a second.
+const NOTICE: Duration = Duration::from_secs(1);
+
+/// Longest wait until all backend servers are handed over.
+///
+/// A hand-over takes at most a second: half for requests under way, half for the successor. What
+/// is not taken over by then falls to the next guardian when the leases are over.
+const HAND_OVER: Duration = Duration::from_secs(2);
+
+/// Longest wait for callers under way; more than the largest allowance that is usual.
+const CALLERS: Duration = Duration::from_secs(15);
+
 /// Time for requests that were passed here from elsewhere, before their ids are handed over.
 const IDS: Duration = Duration::from_secs(2);
 
@@ -121,6 +136,7 @@
     stop: watch::Sender<bool>,
     callers: JoinHandle<()>,
     fleet: mpsc::Sender<fleet::Mail>,
+    owner: mpsc::Sender<owner::Mail>,
     once: mpsc::Sender<once::Mail>,
     /// What the process tells its operators.
     pub board: Board,
@@ -153,7 +169,7 @@
 
         let (local, inbound) = mpsc::channel(QUEUE);
         let hub = hub::spawn(me.clone(), sockets.node, local.clone());
-        let peers = Peers::new(me, seen.clone(), hub, local);
+        let peers = Peers::new(me.clone(), seen.clone(), hub, local);
 
         let (entry_mail, for_entry) = mpsc::channel(QUEUE);
         let (once_mail, for_once) = mpsc::channel(QUEUE);
@@ -176,8 +192,8 @@
         let once = once::Task::new(once, clock, peers.clone(), board.clone());
         tokio::spawn(once.run(for_once, seen.clone()));
 
-        let host = settings.host.clone();
-        let owner = owner::Task::new(host, clock, peers.clone(), board.clone(), owner_mail);
+        let leave = owner_mail.clone();
+        let owner = owner::Task::new(me, clock, peers.clone(), board.clone(), owner_mail);
         tokio::spawn(owner.run(for_owner, seen.clone()));
 
         let domain = settings.domain.clone();
@@ -220,17 +236,29 @@
             stop,
             callers: tokio::spawn(callers),
             fleet: fleet_mail,
+            owner: leave,
             once: once_mail,
             board,
             view: seen,
         }
     }
 
-    /// Takes no more callers and waits until those under way have their answers.
+    /// Ends without cutting any request.
+    ///
+    /// First readiness fails and the others are told, so that nothing new is sent here; then the
+    /// backend servers are handed over; then the callers under way get their answers. An end in any
+    /// other order shows as refused or cut requests at each restart.
     pub async fn stop(self) {
         let _ = self.fleet.send(fleet::Mail::Leave).await;
+        let (done, handed) = oneshot::channel();
+        let leave = owner::Mail::Lease(tenure::Mail::Leave(done));
+        let _ = self.owner.send(leave).await;
+        // The balancer needs a look at the readiness route before connections are closed.
+        let notice = tokio::time::sleep(NOTICE);
+        let handed = tokio::time::timeout(HAND_OVER, handed);
+        let _ = tokio::join!(notice, handed);
         self.stop.send_replace(true);
-        let _ = self.callers.await;
+        let _ = tokio::time::timeout(CALLERS, self.callers).await;
         // After the callers, who would else be told to take a new id.
         let (left, handed) = oneshot::channel();
         let within = IDS;
@@ -238,7 +266,7 @@
         let _ = handed.await;
         let (told, heard) = oneshot::channel();
         let _ = self.fleet.send(fleet::Mail::End(told)).await;
-        let _ = heard.await;
+        let _ = tokio::time::timeout(HAND_OVER, heard).await;
     }
 }
 
