--- a/crates/lentillift-fleet/src/view.rs
+++ b/crates/lentillift-fleet/src/view.rs
@@ -120,7 +120,7 @@
         Self {
             generation: 0,
             fresh_until: Time::MAX,
-            backends: Arc::new(backends(&values, &alive)),
+            backends: Arc::new(backends(&values, &alive, None)),
             values: Arc::new(values),
             hosts: Arc::default(),
             alive: alive.into(),
@@ -162,7 +162,32 @@
             };
         }
         let values = values.unwrap_or(&self.values).clone();
-        Self::derive(generation, self.fresh_until, values, hosts)
+        let alive: Vec<id::Host> = usable(&hosts).map(|(name, ..)| name.clone()).collect();
+        Self {
+            generation,
+            fresh_until: self.fresh_until,
+            backends: Arc::new(backends(&values, &alive, Some(self))),
+            values: Arc::new(values),
+            hosts: Arc::new(hosts),
+            alive: alive.into(),
+        }
+    }
+
+    /// The guardians of a backend server, if they are the same by `roster` as in this view.
+    ///
+    /// They rest on the published list and the failure domain alone. To weigh all hosts for each
+    /// backend server again at every other change would keep the task that answers probes for half a
+    /// second at the target size, and others would take the process for dead.
+    fn kept_guardians(
+        &self,
+        roster: Option<&Arc<Roster>>,
+        backend: &id::Backend,
+        domain: &id::Domain,
+    ) -> Option<Vec<id::Host>> {
+        let old = self.values.roster.as_ref()?;
+        let known = self.backends.get(backend)?;
+        let same = Arc::ptr_eq(old, roster?) && known.server.domain == *domain;
+        same.then(|| known.guardians.clone())
     }
 
     /// Whether the process may still act on this picture at `now`.
@@ -197,13 +222,19 @@
     usable.map(|(name, host)| (name, &host.domain, &host.region))
 }
 
-fn backends(values: &Values, alive: &[id::Host]) -> HashMap<id::Backend, Backend> {
+fn backends(
+    values: &Values,
+    alive: &[id::Host],
+    old: Option<&View>,
+) -> HashMap<id::Backend, Backend> {
+    let roster = values.roster.as_ref();
     let able = alive.iter().filter(|host| !is_out(values, host));
     let able: HashSet<&id::Host> = able.collect();
     let mut backends = HashMap::new();
     for (service, placement) in &values.placements {
         for (name, server) in &placement.servers {
-            let guardians = guardians(values, alive, name, &server.domain);
+            let kept = old.and_then(|old| old.kept_guardians(roster, name, &server.domain));
+            let guardians = kept.unwrap_or_else(|| guardians(values, alive, name, &server.domain));
             let backend = Backend {
                 service: service.clone(),
                 server: server.clone(),
