Split the leases and the owner's core by what they do

Change: claiming, handing over, guarding and the stages are modules of their own; so is what an answer of a backend server changes. No behaviour changes.

--- /dev/null
+++ b/crates/lentillift-fleet/src/tenure/claim.rs
@@ -0,0 +1,263 @@
+//! The side of a process that claims backend servers, renews what it holds and gives up the rest.
+
+use super::Effect;
+use super::Tenure;
+use super::stage::Place;
+use super::stage::Stage;
+use crate::grant::Attempt;
+use crate::grant::Claim;
+use crate::grant::Verdict;
+use crate::lease::Lease;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+use std::collections::BTreeMap;
+
+impl Tenure {
+    /// Forgets earlier guardians that can no longer grant.
+    pub(super) fn settle(&mut self, now: Time, name: &id::Backend) {
+        let settle = self.options.lease.settle;
+        let Some(place) = self.places.get_mut(name) else {
+            return;
+        };
+        let roster = self.view.values.roster.as_ref();
+        let listed = |host: &id::Host| roster.is_some_and(|list| list.hosts.contains_key(host));
+        place.quorum.settle(now, settle, listed);
+    }
+
+    /// Moves one backend server to its next stage, if one is due.
+    pub(super) fn advance(&mut self, now: Time, name: &id::Backend) -> Vec<Effect> {
+        let successor = self.successor(name);
+        let wants = self.wants(now, name);
+        let attempt = self.attempts + 1;
+        let Some(place) = self.places.get_mut(name) else {
+            return Vec::new();
+        };
+        match &place.stage {
+            Stage::Idle { .. } if wants => {
+                self.attempts = attempt;
+                place.stage = Stage::Claiming {
+                    lease: Lease::new(attempt),
+                    since: now,
+                    transfer: None,
+                };
+                self.next_retry = now;
+                Vec::new()
+            }
+            Stage::Claiming { since, .. } if now >= *since + self.options.retry * 2 => {
+                self.give_up(now, name)
+            }
+            Stage::Holding { lease } if now >= lease.until(&place.quorum) => {
+                place.stage = Stage::idle(now);
+                vec![Effect::Changed(name.clone())]
+            }
+            Stage::Holding { .. } => match successor {
+                Some(to) => self.cede(now, name, to),
+                None => Vec::new(),
+            },
+            Stage::Ceding { lease, .. } if now >= lease.until(&place.quorum) => {
+                place.stage = Stage::idle(now);
+                vec![Effect::Changed(name.clone())]
+            }
+            Stage::Ceded { to, since } if now >= *since + self.options.confirm => {
+                let holder = Some(to.clone());
+                let retry = now + self.options.renew;
+                place.stage = Stage::Idle { retry, holder };
+                vec![Effect::Changed(name.clone())]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Whether this process should claim a backend server that it does not hold.
+    pub(super) fn wants(&self, now: Time, name: &id::Backend) -> bool {
+        let Some(Place {
+            stage: Stage::Idle { retry, .. },
+            ..
+        }) = self.places.get(name)
+        else {
+            return false;
+        };
+        let candidate = !self.leaving && !self.view.is_out(&self.host);
+        if !candidate || now < *retry || !self.register.is_settled(now) {
+            return false;
+        }
+        let Some(rank) = self.rank(name, &self.host) else {
+            return false;
+        };
+        let vacant = self.register.vacant_from(name) + self.options.stagger * rank as u32;
+        // The first guardian also asks for what another holds, once it has run for a while.
+        let returns = rank == 0 && now >= self.started + self.options.settle;
+        now >= vacant || returns
+    }
+
+    /// A guardian's place in the order in which they should hold a backend server.
+    pub(super) fn rank(&self, name: &id::Backend, host: &id::Host) -> Option<usize> {
+        let backend = self.view.backends.get(name)?;
+        let able = backend
+            .guardians
+            .iter()
+            .filter(|host| !self.view.is_out(host));
+        able.into_iter().position(|guardian| guardian == host)
+    }
+
+    /// To whom this process must hand over a backend server that it is not to hold any longer.
+    pub(super) fn successor(&self, name: &id::Backend) -> Option<id::Host> {
+        let stays = !self.leaving && self.rank(name, &self.host).is_some();
+        if stays {
+            return None;
+        }
+        let backend = self.view.backends.get(name)?;
+        let able = |host: &&id::Host| {
+            **host != self.host && self.view.alive.contains(*host) && !self.view.is_out(host)
+        };
+        backend.guardians.iter().find(able).cloned()
+    }
+
+    pub(super) fn is_due(&self, name: &id::Backend, renew: bool, retry: bool) -> bool {
+        match self.places.get(name).map(|place| &place.stage) {
+            Some(Stage::Holding { .. } | Stage::Ceding { .. }) => renew,
+            Some(Stage::Claiming { lease, .. }) => retry || lease.is_new(),
+            _ => false,
+        }
+    }
+
+    /// Claims backend servers from all their guardians, in one message for each.
+    pub(super) fn send_claims(&self, now: Time, names: &[id::Backend]) -> Vec<Effect> {
+        let mut batches: BTreeMap<id::Host, Vec<Claim>> = BTreeMap::new();
+        for name in names {
+            let Some(place) = self.places.get(name) else {
+                continue;
+            };
+            let Some((lease, transfer)) = place.stage.lease() else {
+                continue;
+            };
+            let claim = Claim {
+                backend: name.clone(),
+                attempt: lease.attempt,
+                ceded_by: transfer.map(|transfer| transfer.from.clone()),
+                revision: place.quorum.revision,
+                sealed: place.quorum.sealed(),
+            };
+            for host in place.quorum.hosts() {
+                batches.entry(host).or_default().push(claim.clone());
+            }
+        }
+        let claims = batches.into_iter().map(|(to, claims)| Effect::Claim {
+            to,
+            sent: now,
+            claims,
+        });
+        claims.collect()
+    }
+
+    /// Takes in a guardian's answers to claims that were sent at `sent`.
+    pub fn granted(
+        &mut self,
+        now: Time,
+        by: &id::Host,
+        sent: Time,
+        verdicts: Vec<(id::Backend, Attempt, Verdict)>,
+    ) -> Vec<Effect> {
+        let verdicts = verdicts.into_iter();
+        let effects = verdicts.flat_map(|(name, attempt, verdict)| match verdict {
+            Verdict::Granted => self.one_granted(now, by, sent, &name, attempt),
+            Verdict::Held(host) => self.one_held(now, &name, attempt, host),
+            Verdict::Starting | Verdict::Outdated => Vec::new(),
+        });
+        effects.collect()
+    }
+
+    pub(super) fn one_granted(
+        &mut self,
+        now: Time,
+        by: &id::Host,
+        sent: Time,
+        name: &id::Backend,
+        attempt: Attempt,
+    ) -> Vec<Effect> {
+        let options = self.options.lease;
+        let Some(place) = self.places.get_mut(name) else {
+            return Vec::new();
+        };
+        let Some(lease) = place.stage.lease_mut(attempt) else {
+            return Vec::new();
+        };
+        lease.granted(by, sent, &options);
+        if now >= lease.until(&place.quorum) {
+            return Vec::new();
+        }
+        if lease.seals(&place.quorum, &options) {
+            place.quorum.seal(place.quorum.revision);
+        }
+        let Stage::Claiming {
+            lease, transfer, ..
+        } = &mut place.stage
+        else {
+            return vec![Effect::Changed(name.clone())];
+        };
+        let transfer = transfer.take();
+        let confirm = transfer.as_ref().map(|transfer| Effect::Confirm {
+            to: transfer.from.host.clone(),
+            backend: name.clone(),
+        });
+        place.stage = Stage::Holding {
+            lease: lease.clone(),
+        };
+        let acquired = Effect::Acquired {
+            backend: name.clone(),
+            transfer,
+        };
+        std::iter::once(acquired).chain(confirm).collect()
+    }
+
+    pub(super) fn one_held(
+        &mut self,
+        now: Time,
+        name: &id::Backend,
+        attempt: Attempt,
+        holder: id::Host,
+    ) -> Vec<Effect> {
+        let Some(place) = self.places.get_mut(name) else {
+            return Vec::new();
+        };
+        match &place.stage {
+            // With a hand-over under way the others follow; one that is late is no reason to stop.
+            Stage::Claiming {
+                lease,
+                transfer: None,
+                ..
+            } if lease.attempt == attempt => {
+                let effects = self.give_up(now, name);
+                if let Some(place) = self.places.get_mut(name)
+                    && let Stage::Idle { holder: known, .. } = &mut place.stage
+                {
+                    *known = Some(holder);
+                }
+                effects
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Gives back what was granted to an attempt that has failed.
+    pub(super) fn give_up(&mut self, now: Time, name: &id::Backend) -> Vec<Effect> {
+        let retry = now + self.options.renew;
+        let Some(place) = self.places.get_mut(name) else {
+            return Vec::new();
+        };
+        let Some((lease, _)) = place.stage.lease() else {
+            return Vec::new();
+        };
+        let attempt = lease.attempt;
+        place.stage = Stage::Idle {
+            retry,
+            holder: None,
+        };
+        let hosts = place.quorum.hosts().into_iter();
+        let released = hosts.map(|to| Effect::Release {
+            to,
+            released: vec![(name.clone(), attempt)],
+        });
+        released.chain([Effect::Changed(name.clone())]).collect()
+    }
+}
--- /dev/null
+++ b/crates/lentillift-fleet/src/tenure/guard.rs
@@ -0,0 +1,63 @@
+//! The side of a guardian: grants to one holder at a time.
+
+use super::Effect;
+use super::Tenure;
+use crate::grant::Attempt;
+use crate::grant::Claim;
+use crate::grant::Holder;
+use crate::grant::Verdict;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+
+impl Tenure {
+    /// Decides on claims as a guardian.
+    pub fn claimed(
+        &mut self,
+        now: Time,
+        host: &id::Host,
+        incarnation: id::Incarnation,
+        claims: &[Claim],
+    ) -> (Vec<Verdict>, Vec<Effect>) {
+        let mut verdicts = Vec::with_capacity(claims.len());
+        let mut effects = Vec::new();
+        for claim in claims {
+            let from = Holder {
+                host: host.clone(),
+                incarnation,
+                attempt: claim.attempt,
+            };
+            let verdict = self.register.claim(now, &from, claim);
+            if let Some(place) = self.places.get_mut(&claim.backend) {
+                place.quorum.seal(claim.sealed);
+            }
+            if matches!(&verdict, Verdict::Held(holder) if *holder == self.host) {
+                effects.extend(self.asked(now, &claim.backend, host));
+            }
+            verdicts.push(verdict);
+        }
+        (verdicts, effects)
+    }
+
+    /// Takes back a grant as a guardian.
+    pub fn released(
+        &mut self,
+        now: Time,
+        host: &id::Host,
+        incarnation: id::Incarnation,
+        released: &[(id::Backend, Attempt)],
+    ) {
+        for (name, attempt) in released {
+            let from = Holder {
+                host: host.clone(),
+                incarnation,
+                attempt: *attempt,
+            };
+            self.register.release(now, name, &from);
+        }
+    }
+
+    /// The number of backend servers that this process guards.
+    pub fn guarded(&self) -> usize {
+        self.places.len()
+    }
+}
--- /dev/null
+++ b/crates/lentillift-fleet/src/tenure/handover.rs
@@ -0,0 +1,113 @@
+//! Handing a backend server over to a better holder, with what is known of it.
+
+use super::Effect;
+use super::Tenure;
+use super::Transfer;
+use super::stage::Stage;
+use crate::grant::Holder;
+use crate::lease::Lease;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+
+impl Tenure {
+    /// Hands over to a guardian that should rather hold a backend server and asks for it.
+    pub(super) fn asked(&mut self, now: Time, name: &id::Backend, by: &id::Host) -> Vec<Effect> {
+        let holding = self.places.get(name);
+        let holding = holding.is_some_and(|p| matches!(p.stage, Stage::Holding { .. }));
+        let (Some(theirs), Some(ours)) = (self.rank(name, by), self.rank(name, &self.host)) else {
+            return Vec::new();
+        };
+        if holding && theirs < ours {
+            return self.cede(now, name, by.clone());
+        }
+        Vec::new()
+    }
+
+    /// Stops sending work to a backend server, to hand it over.
+    pub(super) fn cede(&mut self, now: Time, name: &id::Backend, to: id::Host) -> Vec<Effect> {
+        let Some(place) = self.places.get_mut(name) else {
+            return Vec::new();
+        };
+        let Stage::Holding { lease } = &place.stage else {
+            return Vec::new();
+        };
+        place.stage = Stage::Ceding {
+            lease: lease.clone(),
+            to,
+            since: now,
+        };
+        vec![Effect::Changed(name.clone())]
+    }
+
+    /// Gives a backend server up for good and names its successor, with the attempt given up.
+    ///
+    /// The caller must not send work after this, whatever becomes of the hand-over.
+    pub fn hand_over(&mut self, now: Time, name: &id::Backend) -> Option<(id::Host, Holder)> {
+        let place = self.places.get_mut(name)?;
+        let Stage::Ceding { lease, to, .. } = &place.stage else {
+            return None;
+        };
+        let from = Holder {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            attempt: lease.attempt,
+        };
+        let to = to.clone();
+        place.stage = Stage::Ceded {
+            to: to.clone(),
+            since: now,
+        };
+        Some((to, from))
+    }
+
+    /// Takes up what another process hands over.
+    pub fn handed(&mut self, now: Time, transfer: Transfer) -> Vec<Effect> {
+        let name = transfer.backend.clone();
+        if self.leaving || self.view.is_out(&self.host) {
+            return Vec::new();
+        }
+        let Some(place) = self.places.get_mut(&name) else {
+            return Vec::new();
+        };
+        let mut effects = Vec::new();
+        match &place.stage {
+            Stage::Idle { .. } => {}
+            Stage::Claiming { .. } => effects.extend(self.give_up(now, &name)),
+            _ => return Vec::new(),
+        }
+        self.attempts += 1;
+        let stage = Stage::Claiming {
+            lease: Lease::new(self.attempts),
+            since: now,
+            transfer: Some(transfer),
+        };
+        if let Some(place) = self.places.get_mut(&name) {
+            place.stage = stage;
+        }
+        effects.push(Effect::Changed(name.clone()));
+        effects.extend(self.send_claims(now, &[name]));
+        effects
+    }
+
+    /// Notes that a successor has taken over.
+    pub fn confirmed(&mut self, now: Time, name: &id::Backend, by: &id::Host) -> Vec<Effect> {
+        let Some(place) = self.places.get_mut(name) else {
+            return Vec::new();
+        };
+        match &place.stage {
+            Stage::Ceded { to, .. } if to == by => {
+                let retry = now + self.options.renew;
+                let holder = Some(by.clone());
+                place.stage = Stage::Idle { retry, holder };
+                vec![Effect::Changed(name.clone())]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Starts to hand over everything, because the process is to end.
+    pub fn leave(&mut self, now: Time) -> Vec<Effect> {
+        self.leaving = true;
+        self.tick(now)
+    }
+}
--- a/crates/lentillift-owner/src/core.rs
+++ b/crates/lentillift-owner/src/core.rs
@@ -3,6 +3,7 @@
 mod hold;
 mod intake;
 mod refit;
+mod settle;
 
 use crate::queue::Flight;
 use crate::queue::Waiting;
@@ -312,53 +313,6 @@
         self.pump(now, &backend)
     }
 
-    fn done(
-        &mut self,
-        now: Time,
-        ticket: Ticket,
-        result: sub::Result,
-        report: &Report,
-    ) -> Vec<Effect> {
-        let Some(flight) = self.flights.remove(&ticket) else {
-            return Vec::new();
-        };
-        let backend = flight.backend.clone();
-        self.forget(&flight.from, flight.id, flight.desk, Some(ticket));
-        self.note_cost(now, &flight, &result);
-        let mut effects = Vec::new();
-        if timed_out(&result) && !flight.cancelled {
-            // The server may go on with it, for nobody.
-            let backend = backend.clone();
-            effects.push(Effect::Cancel { ticket, backend });
-        }
-        if let Some(server) = self.servers.get_mut(&backend) {
-            let changes = server.done(&self.policy, now, ticket, &flight, &result, report);
-            effects.extend(self.tell(&backend, changes));
-        }
-        effects.extend(self.turn_away(now, &backend));
-        effects.extend(self.pump(now, &backend));
-        effects.push(Effect::Reply {
-            load: self.load(now, &backend, &flight.caller),
-            to: flight.from,
-            desk: flight.desk,
-            id: flight.id,
-            result,
-        });
-        self.drop_if_lost(&backend);
-        effects
-    }
-
-    fn note_cost(&mut self, now: Time, flight: &Flight, result: &sub::Result) {
-        let ran = matches!(result, sub::Result::Hits(_) | sub::Result::Reply(_));
-        if let Some(known) = self.view.backends.get(&flight.backend)
-            && ran
-            && !flight.cancelled
-        {
-            let costs = self.costs.entry(known.service.clone()).or_default();
-            costs.note(&flight.caller, now.saturating_sub(flight.since));
-        }
-    }
-
     fn tell(&mut self, backend: &id::Backend, changes: Vec<Change>) -> Vec<Effect> {
         let note = |change: Change| {
             self.counts.add(change.counter());
@@ -420,14 +374,3 @@
         }
     }
 }
-
-/// Whether a reply did not come in time.
-fn timed_out(result: &sub::Result) -> bool {
-    matches!(
-        result,
-        sub::Result::Failed {
-            failure: Failure::Timeout,
-            ..
-        }
-    )
-}
