Keep the guardians of a backend server in its region

Cause: guardians were chosen among all hosts. With 8 failure domains in 2 regions two of three are abroad for half of all backend servers; while regions are apart nobody at home could send these any work.

Change: the published list of hosts may name the region of each domain, and guardians are chosen at home. The weights' buffer is made once for each backend server.

--- a/crates/lentillift-fleet/benches/view.rs
+++ b/crates/lentillift-fleet/benches/view.rs
@@ -65,6 +65,7 @@
         (name, entry)
     });
     values.roster = Some(Arc::new(Roster {
+        regions: BTreeMap::new(),
         revision: 1,
         hosts: hosts.collect(),
     }));
--- a/crates/lentillift-fleet/examples/ownership.rs
+++ b/crates/lentillift-fleet/examples/ownership.rs
@@ -28,9 +28,15 @@
         after.hosts.remove("host-0");
         let names: Vec<String> = (0..servers).map(|n| format!("notice-search-{n}")).collect();
         let since = Instant::now();
-        let old: Vec<_> = names.iter().map(|n| guardian::choose(n, &before)).collect();
+        let old: Vec<_> = names
+            .iter()
+            .map(|n| guardian::choose(n, "d0", &before))
+            .collect();
         let spent = since.elapsed();
-        let new: Vec<_> = names.iter().map(|n| guardian::choose(n, &after)).collect();
+        let new: Vec<_> = names
+            .iter()
+            .map(|n| guardian::choose(n, "d0", &after))
+            .collect();
         let pairs = || old.iter().zip(&new);
         let owners = pairs().filter(|(a, b)| a.first() != b.first()).count();
         let sets = pairs().filter(|(a, b)| a != b).count();
@@ -66,6 +72,7 @@
         (format!("host-{number}").into(), entry)
     };
     Roster {
+        regions: BTreeMap::new(),
         revision: 1,
         hosts: (0..hosts).map(host).collect(),
     }
--- a/crates/lentillift-fleet/src/guardian.rs
+++ b/crates/lentillift-fleet/src/guardian.rs
@@ -16,16 +16,21 @@
 /// Three outlive the loss of one; five would survive two at the price of two thirds more messages.
 pub const MOST: usize = 3;
 
-/// The guardians of `backend`: the first hosts of different failure domains, by weight.
+/// The guardians of `backend` in `domain`: the first hosts of different failure domains, by weight.
 ///
+/// They are in the backend server's region, so that regions which lose each other both keep their
+/// majorities; without this half of all backend servers would have no holder on their own side.
 /// With fewer domains than [`MOST`], more hosts of the same domains fill the places, so that the
 /// loss of one host still leaves a majority.
-pub fn choose(backend: &str, roster: &Roster) -> Vec<id::Host> {
-    let live = roster.hosts.iter();
-    let live = live.filter(|(_, entry)| entry.state == State::Live);
+pub fn choose(backend: &str, domain: &str, roster: &Roster) -> Vec<id::Host> {
+    let region = roster.regions.get(domain);
+    let live = roster.hosts.iter().filter(|(_, entry)| {
+        entry.state == State::Live && roster.regions.get(&entry.domain) == region
+    });
+    let mut key = rendezvous::Key::new(backend);
     let mut first: BTreeMap<&id::Domain, (u64, &id::Host)> = BTreeMap::new();
     for (host, entry) in live.clone() {
-        let weighed = (rendezvous::weight(backend, host), host);
+        let weighed = (key.weight(host), host);
         let best = first.entry(&entry.domain).or_insert(weighed);
         *best = weighed.max(*best);
     }
@@ -33,9 +38,7 @@
     if chosen.len() < MOST {
         let taken: BTreeSet<_> = chosen.iter().map(|(_, host)| *host).collect();
         let rest = live.filter(|(host, _)| !taken.contains(host));
-        let mut rest: Vec<_> = rest
-            .map(|(host, _)| (rendezvous::weight(backend, host), host))
-            .collect();
+        let mut rest: Vec<_> = rest.map(|(host, _)| (key.weight(host), host)).collect();
         rest.sort_unstable_by(|a, b| b.cmp(a));
         rest.truncate(MOST - chosen.len());
         chosen.extend(rest);
--- a/crates/lentillift-fleet/src/rendezvous.rs
+++ b/crates/lentillift-fleet/src/rendezvous.rs
@@ -18,21 +18,21 @@
 ///
 /// It keeps its buffer: to make one for each pair would take most of the time that a view of 4,600
 /// backend servers and 760 hosts takes to draw.
-struct Key {
+pub(crate) struct Key {
     bytes: Vec<u8>,
     /// Bytes of the key and what parts it from the host.
     length: usize,
 }
 
 impl Key {
-    fn new(key: &str) -> Self {
+    pub(crate) fn new(key: &str) -> Self {
         let mut bytes = key.as_bytes().to_vec();
         bytes.push(0);
         let length = bytes.len();
         Self { bytes, length }
     }
 
-    fn weight(&mut self, host: &str) -> u64 {
+    pub(crate) fn weight(&mut self, host: &str) -> u64 {
         self.bytes.truncate(self.length);
         self.bytes.extend_from_slice(host.as_bytes());
         XxHash64::oneshot(SEED, &self.bytes)
--- a/crates/lentillift-fleet/src/view.rs
+++ b/crates/lentillift-fleet/src/view.rs
@@ -258,7 +258,7 @@
         let chosen = rendezvous::choose(backend, alive);
         return chosen.cloned().into_iter().collect();
     };
-    let mut guardians = guardian::choose(backend, roster);
+    let mut guardians = guardian::choose(backend, domain, roster);
     guardian::prefer(&mut guardians, roster, domain);
     guardians
 }
--- /dev/null
+++ b/crates/lentillift-fleet/tests/guardian.rs
@@ -0,0 +1,73 @@
+//! Which hosts are the guardians of a backend server.
+
+use lentillift_fleet::guardian;
+use lentillift_settings::placement::State;
+use lentillift_settings::roster::Entry;
+use lentillift_settings::roster::Roster;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// Failure domains with the region of each; the list below has ten hosts in each domain.
+const DOMAINS: [(&str, &str); 8] = [
+    ("d1", "east"),
+    ("d2", "east"),
+    ("d3", "east"),
+    ("d4", "east"),
+    ("d5", "west"),
+    ("d6", "west"),
+    ("d7", "west"),
+    ("d8", "west"),
+];
+
+fn roster(regions: &[(&str, &str)]) -> Roster {
+    let mut hosts = BTreeMap::new();
+    for (domain, _) in DOMAINS {
+        for number in 0..10 {
+            let entry = Entry {
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                domain: domain.into(),
+                state: State::Live,
+            };
+            hosts.insert(format!("{domain}-host-{number}").into(), entry);
+        }
+    }
+    let regions = regions.iter();
+    Roster {
+        revision: 1,
+        regions: regions
+            .map(|(domain, region)| ((*domain).into(), (*region).into()))
+            .collect(),
+        hosts,
+    }
+}
+
+fn domains(roster: &Roster, backend: &str, domain: &str) -> BTreeSet<String> {
+    let guardians = guardian::choose(backend, domain, roster);
+    assert_eq!(guardians.len(), guardian::MOST);
+    let entries = guardians.iter().map(|host| &roster.hosts[host]);
+    entries.map(|entry| entry.domain.to_string()).collect()
+}
+
+/// Two regions lose each other for minutes. A backend server whose guardians sit mostly in the
+/// other one would get no work from anybody, and its shard would be missing from answers that the
+/// region could have given whole.
+#[test]
+fn guardians_are_in_the_region_of_their_backend_server() {
+    let roster = roster(&DOMAINS);
+    for number in 0..500 {
+        let (domain, region) = DOMAINS[number % DOMAINS.len()];
+        let chosen = domains(&roster, &format!("search-{number}"), domain);
+        let at_home = |name: &String| DOMAINS.iter().any(|d| d.0 == name && d.1 == region);
+        assert!(chosen.iter().all(at_home), "{domain}: {chosen:?}");
+        assert_eq!(chosen.len(), guardian::MOST, "one domain has two guardians");
+    }
+}
+
+/// A fleet of one region names none. Then all domains are at home together.
+#[test]
+fn without_regions_all_domains_guard() {
+    let roster = roster(&[]);
+    let chosen = (0..500).flat_map(|n| domains(&roster, &format!("search-{n}"), "d1"));
+    assert_eq!(chosen.collect::<BTreeSet<_>>().len(), DOMAINS.len());
+}
--- a/crates/lentillift-settings/src/roster.rs
+++ b/crates/lentillift-settings/src/roster.rs
@@ -4,6 +4,7 @@
 use crate::placement::State;
 use crate::review;
 use crate::shape::Shape;
+use crate::shape::optional;
 use crate::shape::required;
 use lentillift_core::id;
 use serde::Deserialize;
@@ -27,6 +28,12 @@
 pub struct Roster {
     /// The revision; it only rises.
     pub revision: id::Revision,
+    /// The region of each failure domain; those that are not named are in one region together.
+    ///
+    /// Leases go by this and not by the configuration's, because all that decides who may send work
+    /// has to change under one revision.
+    #[serde(default)]
+    pub regions: BTreeMap<id::Domain, id::Region>,
     /// The hosts.
     pub hosts: BTreeMap<id::Host, Entry>,
 }
@@ -42,5 +49,6 @@
 /// The shape of a list of hosts.
 pub const SHAPE: Shape = Shape::Record(&[
     required("revision", review::REVISION),
+    optional("regions", Shape::Map(&Shape::Name)),
     required("hosts", Shape::Map(&SERVER)),
 ]);
--- a/crates/lentillift-standin/src/world.rs
+++ b/crates/lentillift-standin/src/world.rs
@@ -91,6 +91,7 @@
             backends: BTreeMap::new(),
             config: self.config.clone(),
             roster: Roster {
+                regions: self.config.regions.clone(),
                 revision: 0,
                 hosts: BTreeMap::new(),
             },
--- a/crates/lentillift/tests/operating.rs
+++ b/crates/lentillift/tests/operating.rs
@@ -95,7 +95,14 @@
         (hosts, servers)
     });
     platform.publish(&format!("service/{SERVICE}"), &placement(servers));
-    platform.publish("hosts", &Roster { revision: 1, hosts });
+    platform.publish(
+        "hosts",
+        &Roster {
+            revision: 1,
+            regions: BTreeMap::new(),
+            hosts,
+        },
+    );
     platform.publish("config", &config);
     fleet
 }
