Name the step that makes a process's part in the fleet

Cause: the function that starts a process was over a hundred lines.

Change: the part in membership is made in a function of its own. No behaviour changes.

Conclusion: builds, clippy clean.

--- a/crates/lentilliftd/src/daemon.rs
+++ b/crates/lentilliftd/src/daemon.rs
@@ -199,15 +199,6 @@
         let domain = settings.domain.clone();
         tokio::spawn(report::views(board.clone(), domain, view.subscribe()));
 
-        let platform = Client::new(settings.platform_address);
-        let options = fleet_core::Options {
-            wall: SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default(),
-            seeds: settings.seeds.clone(),
-            ..fleet_core::Options::default()
-        };
-        let part = Fleet::new(options, clock.now(), own, rng(incarnation + 2));
         let around = fleet::Around {
             peers,
             board: board.clone(),
@@ -215,6 +206,8 @@
             view,
             mail: fleet_mail.clone(),
         };
+        let part = fleet_part(settings, clock, own, incarnation);
+        let platform = Client::new(settings.platform_address);
         let fleet = fleet::Task::new(part, sockets.datagram, platform, around);
         tokio::spawn(fleet.run(for_fleet));
 
@@ -270,6 +263,22 @@
     }
 }
 
+/// This process's part in membership and in the spread of values.
+fn fleet_part(
+    settings: &Settings,
+    clock: Clock,
+    own: Member,
+    incarnation: id::Incarnation,
+) -> Fleet<StdRng> {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    let options = fleet_core::Options {
+        wall: wall.unwrap_or_default(),
+        seeds: settings.seeds.clone(),
+        ..fleet_core::Options::default()
+    };
+    Fleet::new(options, clock.now(), own, rng(incarnation + 2))
+}
+
 /// What this process first says of itself.
 fn member(settings: &Settings, sockets: &Sockets, incarnation: id::Incarnation) -> Member {
     let address = sockets.node.local_addr();
