Pass work on to the likely holder while a process knows of none

The time lines show the hand-over to others at once, and back 3 s later; in between the new process is alive and first among the guardians, so it was asked, knew of no holder, and sent the work back. Ruled out: the hand-over itself, and the term that a new guardian waits.

Change: a process that knows of no holder names the first other guardian that is alive, and passes the sub-request on to it, once, as it does for a holder that it knows.

--- a/crates/lentillift-fleet/src/tenure.rs
+++ b/crates/lentillift-fleet/src/tenure.rs
@@ -186,9 +186,10 @@
             Stage::Idle { holder, .. } => {
                 let granted = self.register.holder(now, backend);
                 let holder = granted.or(holder.as_ref());
-                Hold::No(holder.filter(|holder| **holder != self.host).cloned())
+                let other = holder.filter(|holder| **holder != self.host).cloned();
+                Hold::No(other.or_else(|| self.likely(backend)))
             }
-            Stage::Claiming { transfer: None, .. } => Hold::No(None),
+            Stage::Claiming { transfer: None, .. } => Hold::No(self.likely(backend)),
             Stage::Claiming { .. } | Stage::Ceding { .. } => Hold::Pending,
             Stage::Holding { lease } => Hold::Until(lease.until(&place.quorum)),
             Stage::Ceded { .. } => Hold::Pending,
--- a/crates/lentillift-fleet/src/tenure/claim.rs
+++ b/crates/lentillift-fleet/src/tenure/claim.rs
@@ -103,9 +103,18 @@
     /// To whom this process must hand over a backend server that it is not to hold any longer.
     pub(super) fn successor(&self, name: &id::Backend) -> Option<id::Host> {
         let stays = !self.leaving && self.rank(name, &self.host).is_some();
-        if stays {
-            return None;
+        match stays {
+            true => None,
+            false => self.likely(name),
         }
+    }
+
+    /// The other guardian that most likely holds a backend server, when this process knows of none.
+    ///
+    /// A process that has just started is asked for the servers that it guards first, and knows
+    /// nothing of who took them over before it came. Sent back, shards would be missing until it
+    /// holds them itself, three seconds at each restart; the next guardian knows.
+    pub(super) fn likely(&self, name: &id::Backend) -> Option<id::Host> {
         let backend = self.view.backends.get(name)?;
         let able = |host: &&id::Host| {
             **host != self.host && self.view.alive.contains(*host) && !self.view.is_out(host)
