--- a/crates/lentillift-fleet/tests/guardian.rs
+++ b/crates/lentillift-fleet/tests/guardian.rs
@@ -1,12 +1,22 @@
 //! Which hosts are the guardians of a backend server.
 
+use lentillift_core::id;
+use lentillift_core::time::Time;
 use lentillift_fleet::guardian;
+use lentillift_fleet::tenure::Hold;
+use lentillift_fleet::tenure::Options;
+use lentillift_fleet::tenure::Tenure;
+use lentillift_fleet::view::Values;
+use lentillift_fleet::view::View;
+use lentillift_settings::placement::Placement;
+use lentillift_settings::placement::Server;
 use lentillift_settings::placement::State;
 use lentillift_settings::roster::Entry;
 use lentillift_settings::roster::Roster;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Failure domains with the region of each; the list below has ten hosts in each domain.
 const DOMAINS: [(&str, &str); 8] = [
@@ -71,3 +81,34 @@
     let chosen = (0..500).flat_map(|n| domains(&roster, &format!("search-{n}"), "d1"));
     assert_eq!(chosen.collect::<BTreeSet<_>>().len(), DOMAINS.len());
 }
+
+/// A host restarts. Others took its backend servers over, which it can't know yet, and all processes
+/// ask it first because it is alive again. Sent back without a name, the shards would be missing from
+/// answers until it holds the servers itself, three seconds at each restart.
+#[test]
+fn a_new_process_names_the_next_guardian() {
+    let roster = roster(&[]);
+    let backend: id::Backend = "search-1".into();
+    let server = Server {
+        address: SocketAddr::from(([127, 0, 0, 1], 2)),
+        domain: "d1".into(),
+        state: State::Live,
+    };
+    let placement = Placement {
+        revision: 1,
+        servers: BTreeMap::from([(backend.clone(), server)]),
+        maps: Vec::new(),
+    };
+    let alive: Vec<id::Host> = roster.hosts.keys().cloned().collect();
+    let values = Values {
+        roster: Some(Arc::new(roster)),
+        placements: BTreeMap::from([("search".into(), Arc::new(placement))]),
+        ..Values::default()
+    };
+    let view = Arc::new(View::new(values, alive));
+    let guardians = view.backends[&backend].guardians.clone();
+    let mut new = Tenure::new(Time::ZERO, guardians[0].clone(), 2, Options::default());
+    new.set_view(Time::ZERO, view);
+    let named = new.hold(Time::ZERO, &backend);
+    assert_eq!(named, Hold::No(Some(guardians[1].clone())));
+}
