--- a/crates/lentillift-fleet/tests/faults.rs
+++ b/crates/lentillift-fleet/tests/faults.rs
@@ -1,6 +1,9 @@
 //! Faults among hosts, over fake links, clock and configuration service.
 
 mod common;
+#[macro_use]
+#[path = "common/table.rs"]
+mod table;
 
 use common::Net;
 use common::address;
@@ -37,21 +40,6 @@
     notes.filter(|(_, note)| note.contains("suspected")).count()
 }
 
-/// Names each case of a table; all run over a fleet of their own.
-macro_rules! cases {
-    ($($(#[$doc:meta])* $name:ident($net:ident) $body:block)+) => {
-        $(
-            $(#[$doc])*
-            #[test]
-            fn $name() {
-                let seed = stringify!($name).len() as u64;
-                let mut $net = fleet(seed);
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     /// A switch between two halves of the fleet fails for ten seconds. Each half would go on sending
     /// work to hosts it can't reach, and after the repair the halves would never find each other.
--- a/crates/lentillift-fleet/tests/revisions.rs
+++ b/crates/lentillift-fleet/tests/revisions.rs
@@ -1,6 +1,9 @@
 //! Revisions of published values under faults of the service, of links and of processes.
 
 mod common;
+#[macro_use]
+#[path = "common/table.rs"]
+mod table;
 
 use common::Net;
 use common::host;
@@ -23,21 +26,6 @@
     net
 }
 
-/// Names each case of a table; all run over a fleet of their own.
-macro_rules! cases {
-    ($($(#[$doc:meta])* $name:ident($net:ident) $body:block)+) => {
-        $(
-            $(#[$doc])*
-            #[test]
-            fn $name() {
-                let seed = stringify!($name).len() as u64;
-                let mut $net = fleet(seed);
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     /// Operators take a failure domain out. Any host that hears of it late goes on giving its
     /// hosts work.
--- a/crates/lentillift-load/src/run.rs
+++ b/crates/lentillift-load/src/run.rs
@@ -11,6 +11,7 @@
 use crate::scenario::Stream;
 use serde_json::Value;
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Mutex;
@@ -207,13 +208,14 @@
         let entry = self.balancer.pick().ok_or("no process is ready")?;
         match self.post_to(entry, stream, verb, id, body) {
             // A balancer goes to another process when it can't connect.
-            Err(e) if e.contains("refused") => {
+            Err(ureq::Error::Io(e)) if e.kind() == ErrorKind::ConnectionRefused => {
                 thread::sleep(RECONNECT);
                 let entry = self.balancer.pick().ok_or("no process is ready")?;
                 self.post_to(entry, stream, verb, id, body)
             }
             done => done,
         }
+        .map_err(|e| e.to_string())
     }
 
     fn post_to(
@@ -223,7 +225,7 @@
         verb: &str,
         id: Option<&str>,
         body: &str,
-    ) -> Result<Reply, String> {
+    ) -> Result<Reply, ureq::Error> {
         let allowance = Duration::from_millis(stream.allowance_ms);
         let url = format!("http://{entry}/v1/services/{}/{verb}", stream.service);
         let mut request = self
@@ -235,13 +237,11 @@
             request = request.header("idempotency-key", id);
         }
         let request = request.config().timeout_global(Some(allowance + GRACE));
-        let sent = request.build().send(body);
-        let mut response = sent.map_err(|e| e.to_string())?;
+        let mut response = request.build().send(body)?;
         let header = response.headers().get("x-outcome");
         let outcome = header.and_then(|outcome| outcome.to_str().ok());
         let outcome = outcome.unwrap_or_default().to_owned();
-        let text = response.body_mut().read_to_string();
-        let text = text.map_err(|e| e.to_string())?;
+        let text = response.body_mut().read_to_string()?;
         Ok(Reply {
             status: response.status().as_u16(),
             outcome,
