Keep requests in their failure domain unless another is clearly better

Cause: half of the bytes between failure domains came from near replicas that were avoided for seconds after a pause, and from shards without a near replica that were split over two hosts. Change: one reply shows at most three times the ordinary time and a pause counts once; another failure domain has to be better by 0.6 of a reply time; as few hosts as possible are asked for shards without a near replica.

--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -167,6 +167,7 @@
 {
     fn launch(&mut self, sends: Vec<Send>) {
         for send in sends {
+            self.host.board.count("ways", self.way(&send));
             let flight = fly(
                 self.host.clone(),
                 self.query.plan().route.clone(),
@@ -179,6 +180,16 @@
         }
     }
 
+    /// Whether a send stays in this failure domain, for the counters.
+    fn way(&self, send: &Send) -> &'static str {
+        match &send.target {
+            Target::Host(_) => "host",
+            Target::Server(server) if server.entry.domain == self.host.domain => "near",
+            Target::Server(_) if send.repeat => "far repeat",
+            Target::Server(_) => "far",
+        }
+    }
+
     /// The services that a send to another host is for.
     fn names(&self, send: &Send) -> Vec<String> {
         if matches!(send.target, Target::Server(_)) {
--- a/crates/lentillift-scatter/src/host.rs
+++ b/crates/lentillift-scatter/src/host.rs
@@ -49,6 +49,11 @@
         best.map(|(name, _)| name.clone())
     }
 
+    /// When a host was last asked.
+    pub fn used(&self, name: &str) -> Time {
+        self.known.get(name).map_or(Time::ZERO, |host| host.used)
+    }
+
     /// Notes a send.
     pub fn sent(&mut self, name: &str, now: Time) {
         if let Some(host) = self.known.get_mut(name) {
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -27,6 +27,7 @@
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -113,6 +114,8 @@
     pub left: Duration,
     /// Time until a host that is asked should answer with what it has.
     pub soft: Duration,
+    /// Whether it repeats an earlier send.
+    pub repeat: bool,
 }
 
 /// How a send ended.
@@ -234,35 +237,67 @@
 
     /// Makes the first sends: to hosts for many legs at once, directly for the others.
     fn first(&mut self, core: &mut Core, choices: Vec<Option<Choice>>, now: Time) -> Vec<Send> {
-        let mut far: BTreeMap<id::Domain, Vec<usize>> = BTreeMap::new();
+        let mut groups = match self.plan.branches && self.legs.len() > 1 {
+            true => self.groups(core, &choices, now),
+            false => Vec::new(),
+        };
+        groups.retain(|group| group.legs.len() >= LEAST_BRANCH);
+        let grouped: Vec<usize> = groups.iter().flat_map(|g| g.legs.clone()).collect();
         let mut sends = Vec::new();
-        for (leg, choice) in choices.iter().enumerate() {
-            let Some(choice) = choice else {
-                continue;
-            };
-            let domain = &choice.server.entry.domain;
-            if self.plan.branches && self.legs.len() > 1 && *domain != core.domain {
-                far.entry(domain.clone()).or_default().push(leg);
-            } else {
-                sends.push(self.direct(core, leg, choice.server.clone(), now, false));
-            }
+        for group in groups {
+            sends.push(self.branch(core, group.host, group.legs, now));
         }
-        for (domain, legs) in far {
-            let helper = match legs.len() >= LEAST_BRANCH {
-                true => core.hosts.choose(&domain, now),
-                false => None,
-            };
-            match helper {
-                Some(host) => sends.push(self.branch(core, host, legs, now)),
-                None => sends.extend(legs.into_iter().filter_map(|leg| {
-                    let server = choices[leg].as_ref()?.server.clone();
-                    Some(self.direct(core, leg, server, now, false))
-                })),
+        for (leg, choice) in choices.into_iter().enumerate() {
+            if let Some(choice) = choice
+                && !grouped.contains(&leg)
+            {
+                sends.push(self.direct(core, leg, choice.server, now, false));
             }
         }
         sends
     }
 
+    /// Legs without a replica in this failure domain, by the hosts that should be asked for them.
+    ///
+    /// As few hosts as possible: of replicas in two other failure domains either will do, and one
+    /// reply for all of them is smaller than two.
+    fn groups(&self, core: &Core, choices: &[Option<Choice>], now: Time) -> Vec<Branch> {
+        let latest = core.view.clone();
+        let servers = |leg: &usize| {
+            let service = &self.legs[*leg].service;
+            let latest = latest.as_ref();
+            latest.and_then(|view| view.servers.get(service)).into_iter().flatten()
+        };
+        let reachable = (0..self.legs.len()).filter(|leg| choices[*leg].is_some());
+        let mut rest: Vec<usize> = reachable
+            .filter(|leg| servers(leg).all(|server| server.entry.domain != core.domain))
+            .collect();
+        let mut groups = Vec::new();
+        while !rest.is_empty() {
+            let mut covers: BTreeMap<&id::Domain, Vec<usize>> = BTreeMap::new();
+            for leg in &rest {
+                let domains: BTreeSet<&id::Domain> =
+                    servers(leg).map(|server| &server.entry.domain).collect();
+                for domain in domains {
+                    covers.entry(domain).or_default().push(*leg);
+                }
+            }
+            let hosts = covers.into_iter().filter_map(|(domain, legs)| {
+                let host = core.hosts.choose(domain, now)?;
+                Some((legs, host))
+            });
+            let best = hosts.max_by_key(|(legs, host)| {
+                (legs.len(), std::cmp::Reverse(core.hosts.used(host)))
+            });
+            let Some((legs, host)) = best else {
+                break;
+            };
+            rest.retain(|leg| !legs.contains(leg));
+            groups.push(Branch { host, legs });
+        }
+        groups
+    }
+
     /// Asks a backend server.
     fn direct(
         &mut self,
@@ -296,6 +331,7 @@
             legs: vec![leg],
             left: self.left(core, now),
             soft: Duration::ZERO,
+            repeat,
         }
     }
 
@@ -328,6 +364,7 @@
             legs,
             left: self.left(core, now),
             soft: soft.saturating_sub(BRANCH_TRIP),
+            repeat: false,
         }
     }
 
--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -19,8 +19,11 @@
 /// Weight of one reply in a server's slowness; three replies make up most of it.
 const WEIGHT: f64 = 0.3;
 
-/// Largest slowness that one reply can show; one very long reply is no proof of a slow server.
-const MOST_SLOWNESS: f64 = 12.0;
+/// Largest slowness that one reply can show.
+///
+/// One very long reply is the mark of a pause, after which the server is as fast as before; it must
+/// not send the requests of the next seconds to another failure domain. Three in a row do.
+const MOST_SLOWNESS: f64 = 3.0;
 
 /// Time after which half of what was learnt about a server is forgotten.
 ///
@@ -38,6 +41,12 @@
 /// About the round trip between failure domains (1 to 2 ms). A queue of one request outweighs it.
 const FAR: Duration = Duration::from_millis(3);
 
+/// Part of an ordinary reply time that another failure domain has to be better by.
+///
+/// Reply times differ by as much by chance; without it two replicas that are equally good share the
+/// load, and half of all bytes cross between failure domains.
+const FAR_SHARE: f64 = 0.6;
+
 /// Pause after a server could not be reached, doubled each time up to [`MOST_BACKOFF`].
 const BACKOFF: Duration = Duration::from_millis(100);
 
@@ -75,6 +84,8 @@
     failing: f64,
     /// When the last reply or failure came.
     learnt: Time,
+    /// When the last slow reply came.
+    slow_at: Time,
     load: Option<(Load, Time)>,
     failures: u32,
     down_until: Option<Time>,
@@ -122,6 +133,8 @@
 
     /// Notes how a send ended.
     pub fn ended(&mut self, number: Number, now: Time, sign: Sign, load: Option<Load>) {
+        let sent = self.pending.iter().find(|(pending, _)| *pending == number);
+        let sent = sent.map_or(now, |(_, sent)| *sent);
         self.pending.retain(|(pending, _)| *pending != number);
         if let Some(load) = load {
             self.load = Some((load, now));
@@ -131,8 +144,15 @@
         let failing = self.failing * memory;
         match sign {
             Sign::Replied { slowness: sample } => {
-                let sample = sample.clamp(0.3, MOST_SLOWNESS);
-                self.slowness = slowness + WEIGHT * (sample - slowness);
+                self.slowness = slowness;
+                // Requests that waited through the same pause tell of it once.
+                if sample < MOST_SLOWNESS || sent >= self.slow_at {
+                    let sample = sample.clamp(0.3, MOST_SLOWNESS);
+                    self.slowness = slowness + WEIGHT * (sample - slowness);
+                }
+                if sample >= MOST_SLOWNESS {
+                    self.slow_at = now;
+                }
                 self.failing = failing * (1.0 - WEIGHT);
                 self.failures = 0;
                 self.down_until = None;
@@ -292,7 +312,7 @@
         }
         let mut expected = replica.expected(now, around.typical, server.entry.slots);
         if *server.entry.domain != *around.domain {
-            expected += FAR;
+            expected += FAR.max(around.typical.mul_f64(FAR_SHARE));
         }
         Some(expected)
     }
