Let the host that has the caller decide on every repeat

Change: a host that is asked sends once, near, and tells early what is here, what it could not send and the rest as it comes; the asking host repeats within the limit and the budget.

--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::branch;
 use crate::dialect::Dialect;
 use crate::feed;
+use crate::frame;
 use crate::front;
 use crate::host::Host;
 use crate::host::Stage;
@@ -20,7 +21,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Full;
-use http_body_util::channel::Channel;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::server::conn::http2;
@@ -351,7 +351,7 @@
     response
 }
 
-type Body = Either<Full<Bytes>, Channel<Bytes, Infallible>>;
+type Body = Either<Full<Bytes>, frame::Body>;
 
 /// Serves other hosts.
 async fn nodes<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
@@ -393,11 +393,17 @@
     let path = request.uri().path().to_owned();
     if path == branch::PATH {
         let body = http_body_util::Limited::new(request.into_body(), MOST_BYTES);
-        let response = match body.collect().await {
-            Ok(body) => branch::answer(host, body.to_bytes()).await,
-            Err(_) => bad(),
+        let answered = match body.collect().await {
+            Ok(body) => branch::answer(&host, &body.to_bytes()),
+            Err(e) => Err(Error::new(Step::Read, "host", e)),
+        };
+        return match answered {
+            Ok(body) => Response::new(Either::Right(body)),
+            Err(error) => {
+                warn!(event = "branch", %error, "not served");
+                bad().map(Either::Left)
+            }
         };
-        return response.map(Either::Left);
     }
     let after = path.strip_prefix(feed::PATH);
     match after.and_then(|after| after.parse().ok()) {
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -1,6 +1,8 @@
 //! Learning what is published, from the service or from another host, and passing it on.
 
 use crate::dialect::Dialect;
+use crate::frame;
+use crate::frame::Reader;
 use crate::host::Host;
 use crate::host::Stage;
 use crate::source::Source;
@@ -8,12 +10,9 @@
 use bincode::Decode;
 use bincode::Encode;
 use bytes::Bytes;
-use bytes::BytesMut;
+use futures_util::stream;
 use http::Request;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::channel::Channel;
-use http_body_util::channel::Sender;
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
@@ -25,12 +24,9 @@
 use lentillift_scatter::source::Item;
 use lentillift_scatter::source::News;
 use rand::Rng;
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio_util::codec::Decoder;
-use tokio_util::codec::Encoder;
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio::sync::watch;
 use tracing::info;
 use tracing::warn;
 
@@ -76,9 +72,6 @@
 /// How long a process that knows nothing follows a host that knows nothing either.
 const PATIENCE: Duration = Duration::from_millis(1200);
 
-/// Largest frame, in bytes.
-const MOST_BYTES: usize = 64 * 1024 * 1024;
-
 /// One message to a follower, as it stands on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 struct Frame {
@@ -237,7 +230,7 @@
         let after = host.catalog.borrow().revision();
         let watched = match after {
             0 => Ok(Watched::Forgotten),
-            after => watch(host, after).await,
+            after => wait(host, after).await,
         };
         let news = match watched {
             Ok(Watched::Changes(news)) => news,
@@ -260,7 +253,7 @@
     }
 }
 
-async fn watch<D, S>(host: &Host<D, S>, after: id::Revision) -> Result<Watched>
+async fn wait<D, S>(host: &Host<D, S>, after: id::Revision) -> Result<Watched>
 where
     S: Source,
 {
@@ -287,15 +280,15 @@
 {
     let origin = Origin::Host(name.clone());
     let began = host.now();
-    let mut stream = match open(host, name).await {
-        Ok(stream) => stream,
+    let mut reader = match open(host, name).await {
+        Ok(reader) => reader,
         Err(error) => return Left::Failed(error),
     };
     loop {
         if is_over(host, &origin, until) {
             return Left::Again;
         }
-        let frame = match stream.next().await {
+        let frame = match reader.next(FRAME_TIMEOUT).await {
             Ok(frame) => frame,
             Err(error) => return Left::Failed(error),
         };
@@ -311,15 +304,7 @@
     }
 }
 
-/// Frames of a host that is followed.
-struct Stream {
-    name: id::Host,
-    body: hyper::body::Incoming,
-    buffer: BytesMut,
-    codec: LengthDelimitedCodec,
-}
-
-async fn open<D, S>(host: &Host<D, S>, name: &id::Host) -> Result<Stream>
+async fn open<D, S>(host: &Host<D, S>, name: &id::Host) -> Result<Reader<Frame>>
 where
     D: Dialect,
     S: Source,
@@ -336,82 +321,60 @@
     if response.status() != http::StatusCode::OK {
         return Err(Error::new(Step::Read, name, response.status()));
     }
-    Ok(Stream {
-        name: name.clone(),
-        body: response.into_body(),
-        buffer: BytesMut::new(),
-        codec: codec(),
-    })
-}
-
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MOST_BYTES)
-        .new_codec()
-}
-
-impl Stream {
-    async fn next(&mut self) -> Result<Frame> {
-        let fail = |cause: &dyn std::fmt::Display| Error::new(Step::Read, &self.name, cause);
-        loop {
-            let whole = self.codec.decode(&mut self.buffer);
-            if let Some(bytes) = whole.map_err(|e| fail(&e))? {
-                let config = bincode::config::standard().with_limit::<MOST_BYTES>();
-                let decoded = bincode::decode_from_slice(&bytes, config);
-                let (frame, _) = decoded.map_err(|e| Error::new(Step::Decode, &self.name, e))?;
-                return Ok(frame);
-            }
-            let part = tokio::time::timeout(FRAME_TIMEOUT, self.body.frame()).await;
-            let part = part.map_err(|_| fail(&"nothing came in time"))?;
-            let part = part.ok_or_else(|| fail(&"ended"))?.map_err(|e| fail(&e))?;
-            if let Ok(data) = part.into_data() {
-                self.buffer.extend_from_slice(&data);
-            }
-        }
-    }
+    Ok(Reader::new(name, response.into_body()))
 }
 
-/// Starts to tell a follower that knows everything up to `after`.
-pub fn tell<D, S>(host: Rc<Host<D, S>>, after: id::Revision) -> Channel<Bytes, Infallible>
+/// Tells a follower that knows everything up to `after` what changes.
+pub fn tell<D, S>(host: Rc<Host<D, S>>, after: id::Revision) -> frame::Body
 where
     D: Dialect,
     S: Source,
 {
-    let (sender, body) = Channel::new(4);
-    tokio::task::spawn_local(async move {
-        // It ends when the follower leaves or this process does.
-        let _ = feed(host, after, sender).await;
-    });
-    body
+    let changed = host.changed.subscribe();
+    let stage = host.stage.subscribe();
+    let feed = Feed {
+        host,
+        after,
+        changed,
+        stage,
+        first: true,
+    };
+    frame::body(stream::unfold(feed, |mut feed| async move {
+        let bytes = feed.next().await?;
+        Some((bytes, feed))
+    }))
 }
 
-async fn feed<D, S>(
+/// What one follower is told.
+struct Feed<D, S> {
     host: Rc<Host<D, S>>,
-    mut after: id::Revision,
-    mut sender: Sender<Bytes, Infallible>,
-) -> Option<()>
+    after: id::Revision,
+    changed: watch::Receiver<u64>,
+    stage: watch::Receiver<Stage>,
+    first: bool,
+}
+
+impl<D, S> Feed<D, S>
 where
     D: Dialect,
     S: Source,
 {
-    let mut changed = host.changed.subscribe();
-    let mut stage = host.stage.subscribe();
-    let mut codec = codec();
-    loop {
-        let news = host.catalog.borrow().news(after);
-        after = after.max(host.catalog.borrow().revision());
-        let frame = Frame {
-            age_ms: host.age().map(|age| age.as_millis() as u32),
+    /// The next frame, at once, after a change, or after a while; none when this process ends.
+    async fn next(&mut self) -> Option<Bytes> {
+        if !std::mem::take(&mut self.first) {
+            tokio::select! {
+                _ = self.changed.changed() => {}
+                _ = self.stage.wait_for(|stage| *stage >= Stage::Closing) => return None,
+                () = tokio::time::sleep(HEARTBEAT) => {}
+            }
+        }
+        let catalog = self.host.catalog.borrow();
+        let news = catalog.news(self.after);
+        self.after = self.after.max(catalog.revision());
+        let message = Frame {
+            age_ms: self.host.age().map(|age| age.as_millis() as u32),
             news: news.map(Notice::from),
         };
-        let bytes = bincode::encode_to_vec(frame, bincode::config::standard()).ok()?;
-        let mut framed = BytesMut::new();
-        codec.encode(Bytes::from(bytes), &mut framed).ok()?;
-        sender.send_data(framed.freeze()).await.ok()?;
-        tokio::select! {
-            _ = changed.changed() => {}
-            _ = stage.wait_for(|stage| *stage >= Stage::Closing) => return None,
-            () = tokio::time::sleep(HEARTBEAT) => {}
-        }
+        frame::frame(&message, "follower").ok()
     }
 }
--- /dev/null
+++ b/crates/lentillift-gateway/src/frame.rs
@@ -0,0 +1,140 @@
+//! Messages between hosts: `bincode` in frames with a length, in the bodies of `h2` streams.
+
+use bincode::Decode;
+use bincode::Encode;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use futures_util::stream::LocalBoxStream;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use lentillift_core::error::Error;
+use lentillift_core::error::Result;
+use lentillift_core::error::Step;
+use std::convert::Infallible;
+use std::marker::PhantomData;
+use std::time::Duration;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Largest message, in bytes: everything that is published for 4,600 backend servers takes two.
+const MOST_BYTES: usize = 64 * 1024 * 1024;
+
+/// A body that is made while it is sent.
+///
+/// It is dropped as soon as the peer gives up on the stream, and with it all that it works on.
+pub type Body = StreamBody<LocalBoxStream<'static, std::result::Result<Frame<Bytes>, Infallible>>>;
+
+/// A body of these messages.
+pub fn body<S>(messages: S) -> Body
+where
+    S: Stream<Item = Bytes> + 'static,
+{
+    StreamBody::new(messages.map(|bytes| Ok(Frame::data(bytes))).boxed_local())
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MOST_BYTES)
+        .new_codec()
+}
+
+/// Encodes a message without a length.
+///
+/// # Errors
+///
+/// When it can't be encoded.
+pub fn encode<T>(message: &T, peer: &str) -> Result<Bytes>
+where
+    T: Encode,
+{
+    let bytes = bincode::encode_to_vec(message, bincode::config::standard());
+    bytes
+        .map(Bytes::from)
+        .map_err(|e| Error::new(Step::Write, peer, e))
+}
+
+/// Encodes a message with its length before it.
+///
+/// # Errors
+///
+/// When it can't be encoded, or is too large.
+pub fn frame<T>(message: &T, peer: &str) -> Result<Bytes>
+where
+    T: Encode,
+{
+    let mut framed = BytesMut::new();
+    let encoded = codec().encode(encode(message, peer)?, &mut framed);
+    encoded.map_err(|e| Error::new(Step::Write, peer, e))?;
+    Ok(framed.freeze())
+}
+
+/// Decodes a message without a length.
+///
+/// # Errors
+///
+/// When it is malformed.
+pub fn decode<T>(bytes: &[u8], peer: &str) -> Result<T>
+where
+    T: Decode<()>,
+{
+    let config = bincode::config::standard().with_limit::<MOST_BYTES>();
+    let decoded = bincode::decode_from_slice(bytes, config);
+    let (message, _) = decoded.map_err(|e| Error::new(Step::Decode, peer, e))?;
+    Ok(message)
+}
+
+/// Messages of type `T` from a peer.
+#[derive(Debug)]
+pub struct Reader<T> {
+    peer: String,
+    body: Incoming,
+    buffer: BytesMut,
+    codec: LengthDelimitedCodec,
+    kind: PhantomData<T>,
+}
+
+impl<T> Reader<T>
+where
+    T: Decode<()>,
+{
+    /// Reads messages of `peer`.
+    pub fn new(peer: &str, body: Incoming) -> Self {
+        Self {
+            peer: peer.to_owned(),
+            body,
+            buffer: BytesMut::new(),
+            codec: codec(),
+            kind: PhantomData,
+        }
+    }
+
+    /// The next message, if it comes within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// When nothing comes in time, the stream ends, or the message is malformed.
+    pub async fn next(&mut self, timeout: Duration) -> Result<T> {
+        let next = tokio::time::timeout(timeout, self.whole()).await;
+        next.unwrap_or_else(|_| Err(Error::new(Step::Read, &self.peer, "nothing came in time")))
+    }
+
+    async fn whole(&mut self) -> Result<T> {
+        let fail = |e: &dyn std::fmt::Display| Error::new(Step::Read, &self.peer, e);
+        loop {
+            let whole = self.codec.decode(&mut self.buffer);
+            if let Some(bytes) = whole.map_err(|e| fail(&e))? {
+                return decode(&bytes, &self.peer);
+            }
+            let part = self.body.frame().await;
+            let part = part.ok_or_else(|| fail(&"ended"))?.map_err(|e| fail(&e))?;
+            if let Ok(data) = part.into_data() {
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+}
--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dialect;
 pub mod exchange;
 pub mod feed;
+pub mod frame;
 pub mod front;
 pub mod host;
 pub mod local;
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -1,7 +1,9 @@
 //! Carries out what a query decides: sends, waits, and collects the parts.
 
 use crate::branch;
-use crate::branch::Brought;
+use crate::branch::Merged;
+use crate::branch::Rest;
+use crate::branch::Told;
 use crate::dialect::Dialect;
 use crate::exchange;
 use crate::exchange::Ended;
@@ -13,7 +15,7 @@
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
-use lentillift_core::id;
+use lentillift_core::time::Time;
 use lentillift_scatter::leg::Target;
 use lentillift_scatter::query::Next;
 use lentillift_scatter::query::Outcome;
@@ -27,11 +29,12 @@
 use std::time::Duration;
 use tracing::info;
 
+/// Shortest time that is waited for; timers are no finer.
+const SHORTEST_WAIT: Duration = Duration::from_micros(500);
+
 /// What one send brought.
 #[derive(Debug)]
 pub struct Part {
-    /// The service, if one backend server was asked.
-    pub service: Option<id::Service>,
     /// What it brought.
     pub content: Content,
 }
@@ -42,7 +45,7 @@
     /// A backend server's reply.
     Reply(Reply),
     /// Parts that another host merged.
-    Brought(Brought),
+    Merged(Merged),
 }
 
 impl Part {
@@ -50,7 +53,7 @@
     pub fn signature(&self) -> Option<&str> {
         match &self.content {
             Content::Reply(reply) => reply.signature.as_deref(),
-            Content::Brought(_) => None,
+            Content::Merged(_) => None,
         }
     }
 
@@ -58,15 +61,15 @@
     pub fn signatures(&self) -> Vec<Box<str>> {
         match &self.content {
             Content::Reply(reply) => reply.signature.clone().into_iter().collect(),
-            Content::Brought(brought) => brought.signatures.clone(),
+            Content::Merged(merged) => merged.signatures.clone(),
         }
     }
 
     /// Its records.
     pub fn records(&self) -> &[u8] {
         match &self.content {
-            Content::Reply(reply) => branch::records(reply),
-            Content::Brought(brought) => &brought.records,
+            Content::Reply(reply) => reply.response.body(),
+            Content::Merged(merged) => &merged.records,
         }
     }
 }
@@ -87,15 +90,14 @@
 /// A send that has ended.
 struct Arrival {
     number: Number,
-    ended: Ended,
-    brought: Option<Brought>,
     leg: usize,
+    told: Told,
 }
 
 type Flights = FuturesUnordered<LocalBoxFuture<'static, Arrival>>;
 
 /// A query and its sends; gives them up when it is dropped, as when its caller leaves.
-struct Run<D, S>
+pub struct Run<D, S>
 where
     D: Dialect,
     S: Source,
@@ -137,21 +139,7 @@
     D: Dialect,
     S: Source,
 {
-    let (query, sends) = {
-        let mut core = host.core.borrow_mut();
-        let now = host.now();
-        Query::start(&mut core, plan, now)
-    };
-    let mut run = Run {
-        host: host.clone(),
-        query,
-        flights: Flights::new(),
-        message,
-        authority,
-        parts: HashMap::new(),
-        trouble: Vec::new(),
-    };
-    run.launch(sends);
+    let mut run = Run::start(host, plan, message, authority);
     let next = run.finish().await;
     let done = run.done(next);
     if !run.flights.is_empty() {
@@ -165,6 +153,46 @@
     D: Dialect,
     S: Source,
 {
+    /// Makes the first sends.
+    pub fn start(
+        host: &Rc<Host<D, S>>,
+        plan: Plan,
+        message: Rc<Message>,
+        authority: Rc<str>,
+    ) -> Self {
+        let (query, sends) = {
+            let mut core = host.core.borrow_mut();
+            let now = host.now();
+            Query::start(&mut core, plan, now)
+        };
+        let mut run = Self {
+            host: host.clone(),
+            query,
+            flights: Flights::new(),
+            message,
+            authority,
+            parts: HashMap::new(),
+            trouble: Vec::new(),
+        };
+        run.launch(sends);
+        run
+    }
+
+    /// What was decided so far.
+    pub fn query(&self) -> &Query {
+        &self.query
+    }
+
+    /// The time.
+    pub fn now(&self) -> Time {
+        self.host.now()
+    }
+
+    /// Takes what a send brought.
+    pub fn take(&mut self, number: Number) -> Option<Part> {
+        self.parts.remove(&number)
+    }
+
     fn launch(&mut self, sends: Vec<Send>) {
         for send in sends {
             self.host.board.count("ways", self.way(&send));
@@ -183,7 +211,7 @@
     /// Whether a send stays in this failure domain, for the counters.
     fn way(&self, send: &Send) -> &'static str {
         match &send.target {
-            Target::Host(_) => "host",
+            Target::Host { .. } => "host",
             Target::Server(server) if server.entry.domain == self.host.domain => "near",
             Target::Server(_) if send.repeat => "far repeat",
             Target::Server(_) => "far",
@@ -208,16 +236,23 @@
                 Next::Wait(until) => until,
                 next => return next,
             };
-            let wait = until.saturating_sub(now).max(Duration::from_micros(100));
-            tokio::select! {
-                biased;
-                arrival = self.flights.next(), if !self.flights.is_empty() => {
-                    if let Some(arrival) = arrival {
-                        self.land(arrival);
-                    }
+            self.step(until).await;
+        }
+    }
+
+    /// Waits until a send ends, something is due, or the time is `until`.
+    pub async fn step(&mut self, until: Time) {
+        let now = self.host.now();
+        let until = until.min(self.query.due(now));
+        let wait = until.saturating_sub(now).max(SHORTEST_WAIT);
+        tokio::select! {
+            biased;
+            arrival = self.flights.next(), if !self.flights.is_empty() => {
+                if let Some(arrival) = arrival {
+                    self.land(arrival);
                 }
-                () = tokio::time::sleep(wait) => self.tick(),
             }
+            () = tokio::time::sleep(wait) => self.tick(),
         }
     }
 
@@ -231,21 +266,22 @@
 
     /// Takes in how a send ended.
     fn land(&mut self, arrival: Arrival) {
-        let Arrival {
-            number,
+        let Arrival { number, leg, told } = arrival;
+        let Told {
             ended,
-            brought,
-            leg,
-        } = arrival;
+            merged,
+            rest,
+        } = told;
         self.tell(number, &ended, leg);
-        let content = match (ended.reply, brought) {
-            (Some(reply), _) => Some(Content::Reply(reply)),
-            (None, Some(brought)) => Some(Content::Brought(brought)),
-            (None, None) => None,
-        };
-        if let Some(content) = content {
-            let service = self.query.service(leg).cloned();
-            self.parts.insert(number, Part { service, content });
+        if let Some(rest) = rest {
+            self.flights.push(go_on(self.host.clone(), number, leg, rest).boxed_local());
+        }
+        if let Some(reply) = ended.reply {
+            let content = Content::Reply(reply);
+            self.parts.insert(number, Part { content });
+        }
+        if let Some(merged) = merged {
+            self.join(number, merged);
         }
         let sends = {
             let mut core = self.host.core.borrow_mut();
@@ -255,6 +291,18 @@
         self.launch(sends);
     }
 
+    /// Adds what a host brought to what it brought before.
+    fn join(&mut self, number: Number, merged: Merged) {
+        let empty = || Part {
+            content: Content::Merged(Merged::default()),
+        };
+        let part = self.parts.entry(number).or_insert_with(empty);
+        if let Content::Merged(known) = &mut part.content {
+            known.signatures.extend(merged.signatures);
+            known.records.extend(merged.records);
+        }
+    }
+
     fn tell(&mut self, number: Number, ended: &Ended, leg: usize) {
         let label = match ended.outcome {
             Outcome::Part { .. } => "part",
@@ -304,8 +352,12 @@
             let mut core = self.host.core.borrow_mut();
             let now = self.host.now();
             // What it would send now serves nobody.
-            self.query
-                .close(&mut core, now, arrival.number, arrival.ended.outcome);
+            let Arrival { number, leg, told } = arrival;
+            self.query.close(&mut core, now, number, told.ended.outcome);
+            if let Some(rest) = told.rest {
+                let host = self.host.clone();
+                self.flights.push(go_on(host, number, leg, rest).boxed_local());
+            }
         }
     }
 }
@@ -325,20 +377,30 @@
 {
     let number = send.number;
     let leg = send.legs.first().copied().unwrap_or_default();
-    let (ended, brought) = match &send.target {
+    let told = match &send.target {
         Target::Server(server) => {
             let left = send.left;
             let ended = exchange::exchange(&host, server, route.kind, &message, left).await;
-            (ended, None)
+            Told {
+                ended,
+                merged: None,
+                rest: None,
+            }
         }
-        Target::Host(to) => {
-            branch::ask(&host, to, &send, services, &authority, &message).await
+        Target::Host { host: to, .. } => {
+            let to = to.clone();
+            branch::ask(&host, &to, send, services, &authority, &message).await
         }
     };
-    Arrival {
-        number,
-        ended,
-        brought,
-        leg,
-    }
+    Arrival { number, leg, told }
+}
+
+/// Waits for what a host still has to tell.
+async fn go_on<D, S>(host: Rc<Host<D, S>>, number: Number, leg: usize, rest: Rest) -> Arrival
+where
+    D: Dialect,
+    S: Source,
+{
+    let told = rest.next(&host).await;
+    Arrival { number, leg, told }
 }
--- a/crates/lentillift-scatter/src/leg.rs
+++ b/crates/lentillift-scatter/src/leg.rs
@@ -11,8 +11,13 @@
 pub enum Target {
     /// To a backend server.
     Server(Arc<Server>),
-    /// To another host that asks the backend server in its failure domain.
-    Host(id::Host),
+    /// To another host, which asks a backend server of its failure domain.
+    Host {
+        /// The host.
+        host: id::Host,
+        /// Its failure domain.
+        domain: id::Domain,
+    },
 }
 
 /// One send that has not ended.
@@ -28,6 +33,19 @@
     pub repeat: bool,
 }
 
+/// How far a leg has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// A send is under way, or will be.
+    Open,
+    /// This send brought the part.
+    Done(Number),
+    /// Nothing was sent that could have arrived.
+    Declined,
+    /// What was sent brought nothing.
+    Failed,
+}
+
 /// One shard's part of a request.
 #[derive(Debug)]
 pub struct Leg {
@@ -37,10 +55,14 @@
     pub tries: Vec<Try>,
     /// Backend servers that may have run it.
     pub ran: Vec<id::Backend>,
+    /// Failure domains in which a backend server that another host chose may have run it.
+    pub ran_in: Vec<id::Domain>,
     /// Backend servers that turned it away or could not be reached.
     pub turned_away: Vec<id::Backend>,
-    /// Whether a send has left this host.
-    pub begun: bool,
+    /// Sends that arrived at a backend server, or may have.
+    pub arrivals: u32,
+    /// Whether the request was counted for the budget.
+    pub earned: bool,
     /// The send that brought the part.
     pub done: Option<Number>,
     /// The last send that ended in a failure of the backend server's own.
@@ -56,17 +78,39 @@
             service,
             tries: Vec::new(),
             ran: Vec::new(),
+            ran_in: Vec::new(),
             turned_away: Vec::new(),
-            begun: false,
+            arrivals: 0,
+            earned: false,
             done: None,
             failed: None,
             hedge_at: None,
         }
     }
 
+    /// How far it has come.
+    pub fn state(&self) -> State {
+        match self.done {
+            Some(number) => State::Done(number),
+            None if !self.tries.is_empty() || self.hedge_at.is_some() => State::Open,
+            None if self.arrivals == 0 => State::Declined,
+            None => State::Failed,
+        }
+    }
+
     /// Whether its part is neither here nor on its way, and no send is due.
     pub fn is_lost(&self) -> bool {
-        self.done.is_none() && self.tries.is_empty() && self.hedge_at.is_none()
+        matches!(self.state(), State::Declined | State::Failed)
+    }
+
+    /// Backend servers that run it or may have.
+    pub fn attempts(&self) -> usize {
+        self.tries.len() + self.ran.len() + self.ran_in.len()
+    }
+
+    /// Whether no backend server can have run it.
+    pub fn is_untouched(&self) -> bool {
+        self.attempts() == 0
     }
 
     /// Takes out a send that ended.
@@ -75,12 +119,13 @@
         Some(self.tries.remove(place))
     }
 
-    /// Whether `backend` has been asked.
-    pub fn has_asked(&self, backend: &id::Backend) -> bool {
+    /// Whether `server` has been asked, or may have been by another host.
+    pub fn has_asked(&self, server: &Server) -> bool {
+        let entry = &server.entry;
         let pending = self.tries.iter().any(|sent| match &sent.target {
-            Target::Server(server) => server.entry.id == *backend,
-            Target::Host(_) => false,
+            Target::Server(asked) => asked.entry.id == entry.id,
+            Target::Host { domain, .. } => *domain == entry.domain,
         });
-        pending || self.ran.contains(backend)
+        pending || self.ran.contains(&entry.id) || self.ran_in.contains(&entry.domain)
     }
 }
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -17,6 +17,7 @@
 use crate::core::Choice;
 use crate::core::Core;
 use crate::leg::Leg;
+use crate::leg::State;
 use crate::leg::Target;
 use crate::leg::Try;
 use crate::replica::Load;
@@ -34,14 +35,9 @@
 /// Fewest shards for which another host is asked; below, its reply is no smaller than theirs.
 const LEAST_BRANCH: usize = 3;
 
-/// Part of the objective after which a host that was asked is held to be in trouble.
-///
-/// It hedges by itself and answers early, so what is late is the host. The rest of the objective is
-/// enough to ask the backend servers directly.
-const BRANCH_PATIENCE: f64 = 0.55;
-
-/// Time that the way to another host and back, and its work, take of the time to answer.
-const BRANCH_TRIP: Duration = Duration::from_millis(5);
+/// Time that the way to another host and back takes, with its work: two round trips within a region,
+/// and as much again for a host that is busy.
+const BRANCH_TRIP: Duration = Duration::from_millis(8);
 
 /// Shortest pause before a replica that turned a request away is asked again.
 const AGAIN: Duration = Duration::from_millis(8);
@@ -66,8 +62,12 @@
     pub deadline: Time,
     /// Least share of the shards that makes an answer; none if whatever is there will do.
     pub coverage: Option<f64>,
+    /// Backend servers that each shard's request may be sent to.
+    pub attempts: u32,
     /// Whether other hosts may be asked.
     pub branches: bool,
+    /// Whether only backend servers of this failure domain may be asked, and no leg twice.
+    pub near_only: bool,
 }
 
 impl Plan {
@@ -96,7 +96,31 @@
             soft: (now + objective.saturating_sub(margin)).min(deadline),
             deadline,
             coverage: Some(coverage),
+            attempts: route.attempts,
             branches: core.options.branches,
+            near_only: false,
+        }
+    }
+
+    /// A plan for another host's question that arrived at `now`.
+    pub fn branch(
+        route: &Arc<Route>,
+        view: &Arc<View>,
+        services: Vec<id::Service>,
+        now: Time,
+        deadline: Time,
+    ) -> Self {
+        Self {
+            route: route.clone(),
+            view: view.clone(),
+            services,
+            arrived: now,
+            soft: deadline,
+            deadline,
+            coverage: None,
+            attempts: 1,
+            branches: false,
+            near_only: true,
         }
     }
 }
@@ -112,8 +136,8 @@
     pub legs: Vec<usize>,
     /// Time until the receiver should give up.
     pub left: Duration,
-    /// Time until a host that is asked should answer with what it has.
-    pub soft: Duration,
+    /// Time until a host that is asked should tell for the first time what it has.
+    pub first: Duration,
     /// Whether it repeats an earlier send.
     pub repeat: bool,
 }
@@ -142,8 +166,21 @@
     Unreachable,
     /// It may have run; the reply was lost, cut off, late or malformed.
     Broken,
-    /// Another host brought the parts of these legs.
-    Branch(Vec<usize>),
+    /// Another host told of some legs.
+    Branch(Brought),
+}
+
+/// What another host told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Brought {
+    /// Legs whose part it brought.
+    pub done: Vec<usize>,
+    /// Legs for which it sent nothing.
+    pub declined: Vec<usize>,
+    /// Legs whose send brought nothing.
+    pub failed: Vec<usize>,
+    /// Whether it has told of all legs.
+    pub last: bool,
 }
 
 /// What to do next.
@@ -172,7 +209,11 @@
 #[derive(Debug)]
 struct Branch {
     host: id::Host,
+    domain: id::Domain,
+    /// Legs of which nothing was heard.
     legs: Vec<usize>,
+    /// Whether it has told anything.
+    told: bool,
 }
 
 /// One request.
@@ -230,8 +271,12 @@
     fn choices(&self, core: &mut Core, now: Time) -> Vec<Option<Choice>> {
         let typical = core.pace(&self.plan.route).typical;
         let view = &self.plan.view;
+        let domain = self.plan.near_only.then(|| core.domain.clone());
         let legs = self.legs.iter();
-        legs.map(|leg| core.choose(view, &leg.service, typical, now, |_| true))
+        legs.map(|leg| {
+            let may = |server: &Server| domain.as_ref().is_none_or(|d| server.entry.domain == *d);
+            core.choose(view, &leg.service, typical, now, may)
+        })
             .collect()
     }
 
@@ -245,7 +290,7 @@
         let grouped: Vec<usize> = groups.iter().flat_map(|g| g.legs.clone()).collect();
         let mut sends = Vec::new();
         for group in groups {
-            sends.push(self.branch(core, group.host, group.legs, now));
+            sends.push(self.branch(core, group, now));
         }
         for (leg, choice) in choices.into_iter().enumerate() {
             if let Some(choice) = choice
@@ -284,16 +329,21 @@
             }
             let hosts = covers.into_iter().filter_map(|(domain, legs)| {
                 let host = core.hosts.choose(domain, now)?;
-                Some((legs, host))
+                Some(Branch {
+                    host,
+                    domain: domain.clone(),
+                    legs,
+                    told: false,
+                })
             });
-            let best = hosts.max_by_key(|(legs, host)| {
-                (legs.len(), std::cmp::Reverse(core.hosts.used(host)))
+            let best = hosts.max_by_key(|group| {
+                (group.legs.len(), std::cmp::Reverse(core.hosts.used(&group.host)))
             });
-            let Some((legs, host)) = best else {
+            let Some(group) = best else {
                 break;
             };
-            rest.retain(|leg| !legs.contains(leg));
-            groups.push(Branch { host, legs });
+            rest.retain(|leg| !group.legs.contains(leg));
+            groups.push(group);
         }
         groups
     }
@@ -309,15 +359,12 @@
     ) -> Send {
         let number = core.number();
         core.sent(number, &server, now);
-        let service = self.legs[leg].service.clone();
-        if !repeat {
-            core.earn(&service, now);
-        }
+        self.earn(core, leg, now);
         self.repeats += u32::from(repeat);
-        let hedge_at = self.hedge_at(core, now);
+        let hedge_at = self.patience(core).map(|patience| now + patience);
         let target = Target::Server(server);
         let state = &mut self.legs[leg];
-        state.begun = true;
+        state.arrivals += 1;
         state.tries.push(Try {
             number,
             target: target.clone(),
@@ -330,40 +377,49 @@
             target,
             legs: vec![leg],
             left: self.left(core, now),
-            soft: Duration::ZERO,
+            first: Duration::ZERO,
             repeat,
         }
     }
 
+    /// Counts a leg's request for the budget, once.
+    fn earn(&mut self, core: &mut Core, leg: usize, now: Time) {
+        let state = &mut self.legs[leg];
+        if !std::mem::replace(&mut state.earned, true) {
+            let service = state.service.clone();
+            core.earn(&service, now);
+        }
+    }
+
     /// Asks another host for many legs.
-    fn branch(&mut self, core: &mut Core, host: id::Host, legs: Vec<usize>, now: Time) -> Send {
+    fn branch(&mut self, core: &mut Core, branch: Branch, now: Time) -> Send {
         let number = core.number();
-        core.hosts.sent(&host, now);
-        let target = Target::Host(host.clone());
-        let patience = self.plan.route.objective.mul_f64(BRANCH_PATIENCE);
-        for leg in &legs {
+        core.hosts.sent(&branch.host, now);
+        let target = Target::Host {
+            host: branch.host.clone(),
+            domain: branch.domain.clone(),
+        };
+        let patience = self.patience(core).unwrap_or_default();
+        for leg in &branch.legs {
+            self.earn(core, *leg, now);
             let state = &mut self.legs[*leg];
-            state.begun = true;
+            state.arrivals += 1;
             state.tries.push(Try {
                 number,
                 target: target.clone(),
                 sent: now,
                 repeat: false,
             });
-            state.hedge_at = Some(now + patience);
+            state.hedge_at = Some(now + patience + BRANCH_TRIP);
         }
-        let sent = Branch {
-            host,
-            legs: legs.clone(),
-        };
-        self.branches.insert(number, sent);
-        let soft = self.plan.soft.saturating_sub(now);
+        let legs = branch.legs.clone();
+        self.branches.insert(number, branch);
         Send {
             number,
             target,
             legs,
             left: self.left(core, now),
-            soft: soft.saturating_sub(BRANCH_TRIP),
+            first: patience,
             repeat: false,
         }
     }
@@ -381,15 +437,15 @@
         }
     }
 
-    /// When another replica is asked after a send at `now`.
-    fn hedge_at(&self, core: &mut Core, now: Time) -> Option<Time> {
-        if self.plan.route.kind == Kind::Once {
+    /// Time after which another replica is asked; none if none may be.
+    fn patience(&self, core: &mut Core) -> Option<Duration> {
+        if self.plan.route.kind == Kind::Once || self.plan.near_only {
             return None;
         }
         let pace = core.pace(&self.plan.route);
         let most = self.plan.route.objective.mul_f64(core.options.hedge_by);
         let least = pace.typical.mul_f64(1.3);
-        Some(now + pace.late.min(most).max(least))
+        Some(pace.late.min(most).max(least))
     }
 
     /// Takes in how a send ended; says what to send now.
@@ -401,7 +457,7 @@
         outcome: Outcome,
     ) -> Vec<Send> {
         if let Some(branch) = self.branches.remove(&number) {
-            return self.branch_ended(core, now, number, &branch, outcome);
+            return self.branch_ended(core, now, number, branch, outcome);
         }
         let found = self.legs.iter_mut().enumerate();
         let mut found = found.filter_map(|(i, leg)| Some((i, leg.take(number)?)));
@@ -435,6 +491,7 @@
             }
             Outcome::Unreachable => {
                 state.turned_away.push(backend);
+                state.arrivals -= 1;
                 if sent.repeat {
                     let service = state.service.clone();
                     core.refund(&service, now);
@@ -472,33 +529,68 @@
         core: &mut Core,
         now: Time,
         number: Number,
-        branch: &Branch,
+        mut branch: Branch,
         outcome: Outcome,
     ) -> Vec<Send> {
-        let brought = match &outcome {
-            Outcome::Branch(brought) => brought.as_slice(),
-            _ => &[],
+        let brought = match outcome {
+            Outcome::Branch(brought) => brought,
+            Outcome::Unreachable => Brought {
+                done: Vec::new(),
+                declined: branch.legs.clone(),
+                failed: Vec::new(),
+                last: true,
+            },
+            _ => Brought {
+                done: Vec::new(),
+                declined: Vec::new(),
+                failed: branch.legs.clone(),
+                last: true,
+            },
         };
-        let answered = matches!(outcome, Outcome::Branch(_));
-        core.hosts.ended(&branch.host, now, answered);
-        let mut sends = Vec::new();
-        for leg in &branch.legs {
+        let answered = branch.told || !brought.done.is_empty();
+        let mut again = Vec::new();
+        for leg in &brought.done {
             let state = &mut self.legs[*leg];
             state.take(number);
-            if brought.contains(leg) {
-                // The host's records are merged and can't be taken apart: what another send brought
-                // for this leg is left out in its favour.
-                state.done = Some(number);
-                state.hedge_at = None;
-                continue;
-            }
-            if outcome == Outcome::Unreachable {
-                state.begun = !state.tries.is_empty();
+            state.ran_in.push(branch.domain.clone());
+            // The host's records are merged and can't be taken apart: what another send brought for
+            // this leg is left out in its favour.
+            state.done = Some(number);
+            state.hedge_at = None;
+        }
+        for leg in &brought.declined {
+            let state = &mut self.legs[*leg];
+            if state.take(number).is_some() {
+                state.arrivals -= 1;
+                again.push(*leg);
             }
-            if state.done.is_none() {
-                sends.extend(self.retry(core, *leg, now));
+        }
+        for leg in &brought.failed {
+            let state = &mut self.legs[*leg];
+            if state.take(number).is_some() {
+                state.ran_in.push(branch.domain.clone());
+                again.push(*leg);
             }
         }
+        let told = |leg: &usize| {
+            let lists = [&brought.done, &brought.declined, &brought.failed];
+            lists.iter().any(|list| list.contains(leg))
+        };
+        branch.legs.retain(|leg| !told(leg));
+        if !branch.told && !brought.last {
+            // It told of those that took no longer than most do: the others are late.
+            again.extend(&branch.legs);
+        }
+        branch.told = true;
+        if brought.last {
+            core.hosts.ended(&branch.host, now, answered);
+        } else {
+            self.branches.insert(number, branch);
+        }
+        let mut sends = Vec::new();
+        for leg in again {
+            sends.extend(self.retry(core, leg, now));
+        }
         sends
     }
 
@@ -523,16 +615,16 @@
     /// Sends once more for a leg, or sets the time of the next look.
     fn again(&mut self, core: &mut Core, leg: usize, now: Time) -> Vec<Send> {
         let state = &self.legs[leg];
-        let running = state.tries.len() + state.ran.len();
         let once = self.plan.route.kind == Kind::Once;
-        if (once && running > 0) || running >= self.plan.route.attempts as usize {
+        let limit = if once { 1 } else { self.plan.attempts as usize };
+        if state.attempts() >= limit {
             self.legs[leg].hedge_at = None;
             return Vec::new();
         }
         let Some(choice) = self.other(core, leg, now) else {
             return self.look_later(core, leg, now);
         };
-        let repeat = self.legs[leg].begun;
+        let repeat = self.legs[leg].arrivals > 0;
         let service = self.legs[leg].service.clone();
         if repeat && !core.spend(&service, now) {
             return self.look_later(core, leg, now);
@@ -545,14 +637,18 @@
         let typical = core.pace(&self.plan.route).typical;
         let state = &self.legs[leg];
         let view = &self.plan.view;
+        let domain = self.plan.near_only.then(|| core.domain.clone());
+        let may = |server: &Server| {
+            let near = domain.as_ref().is_none_or(|d| server.entry.domain == *d);
+            near && !state.has_asked(server)
+        };
         let fresh = |server: &Server| {
-            let id = &server.entry.id;
-            !state.has_asked(id) && !state.turned_away.contains(id)
+            may(server) && !state.turned_away.contains(&server.entry.id)
         };
         let choice = core.choose(view, &state.service, typical, now, fresh);
         let choice = choice.or_else(|| {
             let idle = state.tries.is_empty();
-            let again = |server: &Server| idle && !state.has_asked(&server.entry.id);
+            let again = |server: &Server| idle && may(server);
             core.choose(view, &state.service, typical, now, again)
         })?;
         (now + choice.expected < self.plan.deadline).then_some(choice)
@@ -564,7 +660,7 @@
         let in_time = at < self.plan.deadline;
         let single = self.legs.len() == 1 && self.legs[leg].tries.is_empty();
         // Nothing is to be gained by waiting for a service that nobody serves now.
-        let hopeless = single && self.legs[leg].ran.is_empty() && self.rejections == 0;
+        let hopeless = single && self.legs[leg].is_untouched() && self.rejections == 0;
         self.legs[leg].hedge_at = (in_time && !hopeless).then_some(at);
         Vec::new()
     }
@@ -586,7 +682,10 @@
     /// Holds a host that is late for one in trouble.
     fn doubt_hosts(&self, core: &mut Core, leg: usize, now: Time) {
         for sent in &self.legs[leg].tries {
-            if let Target::Host(host) = &sent.target {
+            let heard = self.branches.get(&sent.number).is_some_and(|b| b.told);
+            if let Target::Host { host, .. } = &sent.target
+                && !heard
+            {
                 core.hosts.doubt(host, now);
             }
         }
@@ -599,7 +698,12 @@
         }
         if let Some(branch) = self.branches.remove(&number) {
             let answered = matches!(outcome, Outcome::Branch(_));
-            core.hosts.ended(&branch.host, now, answered);
+            match &outcome {
+                Outcome::Branch(brought) if !brought.last => {
+                    self.branches.insert(number, branch);
+                }
+                _ => core.hosts.ended(&branch.host, now, answered),
+            }
             return;
         }
         let found = self.legs.iter_mut().find_map(|leg| leg.take(number));
@@ -645,11 +749,21 @@
         if settled || over || hopeless {
             return self.verdict(over);
         }
+        Next::Wait(self.due(now))
+    }
+
+    /// When to look again if no send ends before.
+    pub fn due(&self, now: Time) -> Time {
         let hedges = self.legs.iter().filter(|leg| leg.done.is_none());
         let hedges = hedges.filter_map(|leg| leg.hedge_at);
         let soft = Some(self.plan.soft).filter(|soft| *soft > now);
         let due = hedges.chain(soft).min().unwrap_or(self.plan.deadline);
-        Next::Wait(due.min(self.plan.deadline))
+        due.min(self.plan.deadline)
+    }
+
+    /// How far each leg has come.
+    pub fn states(&self) -> impl Iterator<Item = State> {
+        self.legs.iter().map(Leg::state)
     }
 
     fn answer(&self) -> Next {
@@ -666,10 +780,7 @@
         {
             return Next::Pass(number);
         }
-        let untouched = self
-            .legs
-            .iter()
-            .all(|leg| leg.ran.is_empty() && leg.tries.is_empty());
+        let untouched = self.legs.iter().all(Leg::is_untouched);
         match (untouched, over) {
             (true, _) => Next::Refuse(self.retry_after()),
             (false, true) => Next::Timeout,
