Count a request for the budget once, and leave a server that turned it away alone

Change: only the host that has the caller counts; a turned-away server is asked again only after a pause.

--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -205,6 +205,15 @@
     Timeout,
 }
 
+/// Whether backend servers that turned a leg away may be asked again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Turned {
+    /// It has just happened: they would do it again.
+    Leave,
+    /// Some time has passed.
+    Ask,
+}
+
 /// A send to another host.
 #[derive(Debug)]
 struct Branch {
@@ -382,8 +391,11 @@
         }
     }
 
-    /// Counts a leg's request for the budget, once.
+    /// Counts a leg's request for the budget, once, at the host that has the caller.
     fn earn(&mut self, core: &mut Core, leg: usize, now: Time) {
+        if self.plan.near_only {
+            return;
+        }
         let state = &mut self.legs[leg];
         if !std::mem::replace(&mut state.earned, true) {
             let service = state.service.clone();
@@ -604,7 +616,7 @@
             self.legs[leg].hedge_at = None;
             return Vec::new();
         }
-        self.again(core, leg, now)
+        self.again(core, leg, now, Turned::Leave)
     }
 
     /// Whether a request to a single service was turned away too often to go on.
@@ -613,15 +625,19 @@
     }
 
     /// Sends once more for a leg, or sets the time of the next look.
-    fn again(&mut self, core: &mut Core, leg: usize, now: Time) -> Vec<Send> {
+    fn again(&mut self, core: &mut Core, leg: usize, now: Time, turned: Turned) -> Vec<Send> {
         let state = &self.legs[leg];
+        if self.plan.near_only && state.arrivals > 0 {
+            self.legs[leg].hedge_at = None;
+            return Vec::new();
+        }
         let once = self.plan.route.kind == Kind::Once;
         let limit = if once { 1 } else { self.plan.attempts as usize };
         if state.attempts() >= limit {
             self.legs[leg].hedge_at = None;
             return Vec::new();
         }
-        let Some(choice) = self.other(core, leg, now) else {
+        let Some(choice) = self.other(core, leg, now, turned) else {
             return self.look_later(core, leg, now);
         };
         let repeat = self.legs[leg].arrivals > 0;
@@ -633,7 +649,7 @@
     }
 
     /// A replica that was not asked for this leg, and whose reply would come in time.
-    fn other(&self, core: &mut Core, leg: usize, now: Time) -> Option<Choice> {
+    fn other(&self, core: &mut Core, leg: usize, now: Time, turned: Turned) -> Option<Choice> {
         let typical = core.pace(&self.plan.route).typical;
         let state = &self.legs[leg];
         let view = &self.plan.view;
@@ -647,7 +663,7 @@
         };
         let choice = core.choose(view, &state.service, typical, now, fresh);
         let choice = choice.or_else(|| {
-            let idle = state.tries.is_empty();
+            let idle = state.tries.is_empty() && turned == Turned::Ask;
             let again = |server: &Server| idle && may(server);
             core.choose(view, &state.service, typical, now, again)
         })?;
@@ -674,7 +690,7 @@
                 continue;
             }
             self.doubt_hosts(core, leg, now);
-            sends.extend(self.again(core, leg, now));
+            sends.extend(self.again(core, leg, now, Turned::Ask));
         }
         sends
     }
