--- a/crates/lentillift-scatter/src/catalog.rs
+++ b/crates/lentillift-scatter/src/catalog.rs
@@ -80,7 +80,7 @@
     /// Latest start that each backend server reported.
     born: HashMap<id::Backend, u64>,
     /// Backend servers whose entry is gone, and until when they may be asked.
-    lapsed: HashMap<id::Backend, (Arc<Server>, Time)>,
+    lapsed: BTreeMap<id::Backend, (Arc<Server>, Time)>,
     // INVARIANT: All changes up to here have been taken in.
     revision: id::Revision,
     history: Vec<Item>,
--- /dev/null
+++ b/crates/lentillift-scatter/tests/beliefs.rs
@@ -0,0 +1,247 @@
+//! What is believed of the published state when news is late, doubled, missing or wrong.
+
+mod common;
+
+use common::MS;
+use common::NOON;
+use common::config;
+use common::entry;
+use common::route;
+use common::single;
+use lentillift_scatter::catalog::Catalog;
+use lentillift_scatter::catalog::Change;
+use lentillift_scatter::catalog::LAPSE;
+use lentillift_scatter::config::Kind;
+use lentillift_scatter::server::Entry;
+use lentillift_scatter::server::Stage;
+use lentillift_scatter::source::Item;
+use lentillift_scatter::source::Meaning;
+use lentillift_scatter::source::News;
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// Items of these tests: `c` is a configuration whose bytes are its version, `b-ID` a backend server
+/// whose bytes are its start and stage, `e-DOMAIN` an evacuation.
+fn decode(item: &Item) -> Meaning {
+    let value = item.value.clone().unwrap_or_default();
+    match item.key.split_once('-') {
+        None => match value.first() {
+            Some(version) => {
+                let routes = vec![route(single("s"), Kind::Idempotent)];
+                Meaning::Config(Box::new(config(u64::from(*version), routes)))
+            }
+            None => Meaning::Malformed("empty".to_owned()),
+        },
+        Some(("e", domain)) => Meaning::Evacuation(domain.into()),
+        Some((_, id)) => match value.as_slice() {
+            [born, leaving] => Meaning::Server(Entry {
+                born: u64::from(*born),
+                stage: if *leaving == 0 { Stage::Ready } else { Stage::Leaving },
+                ..entry(id, "s", "a")
+            }),
+            _ => Meaning::Malformed("no entry".to_owned()),
+        },
+    }
+}
+
+fn put(key: &str, revision: u64, value: &[u8]) -> Item {
+    Item {
+        key: key.to_owned(),
+        revision,
+        value: Some(value.to_vec()),
+    }
+}
+
+fn gone(key: &str, revision: u64) -> Item {
+    Item {
+        key: key.to_owned(),
+        revision,
+        value: None,
+    }
+}
+
+fn all(revision: u64, items: Vec<Item>) -> News {
+    News::All { revision, items }
+}
+
+fn changes(revision: u64, items: Vec<Item>) -> News {
+    News::Changes { revision, items }
+}
+
+/// A catalog that was told this at noon.
+fn told(news: Vec<News>) -> Catalog {
+    let mut catalog = Catalog::default();
+    for news in news {
+        catalog.learn(NOON, news, decode);
+    }
+    catalog
+}
+
+/// Backend servers that may be used, and whether only where nothing else is left.
+fn servers(catalog: &Catalog) -> Vec<(String, bool)> {
+    let view = catalog.view().expect("a configuration is known");
+    let servers = view.servers.get("s").into_iter().flatten();
+    let mut servers: Vec<(String, bool)> = servers
+        .map(|s| (s.entry.id.to_string(), s.last_resort_until.is_some()))
+        .collect();
+    servers.sort();
+    servers
+}
+
+fn ready(id: &str) -> (String, bool) {
+    (id.to_owned(), false)
+}
+
+fn last(id: &str) -> (String, bool) {
+    (id.to_owned(), true)
+}
+
+#[test]
+fn what_was_read_is_believed() {
+    let catalog = told(vec![all(9, vec![put("c", 5, &[1]), put("b-x", 6, &[1, 0])])]);
+    assert_eq!(catalog.version(), Some(1));
+    assert_eq!(catalog.revision(), 9);
+    assert_eq!(servers(&catalog), [ready("x")]);
+}
+
+/// A host that lags passes an older configuration on. Requests would go back to a service that was
+/// given up, after callers had seen the new one.
+#[test]
+fn a_configuration_never_goes_back() {
+    let catalog = told(vec![
+        all(9, vec![put("c", 9, &[4])]),
+        changes(10, vec![put("c", 10, &[3])]),
+        all(12, vec![put("c", 11, &[2])]),
+    ]);
+    assert_eq!(catalog.version(), Some(4));
+}
+
+/// The published configuration is damaged. The last good one stays in force.
+#[test]
+fn a_malformed_configuration_changes_nothing() {
+    let catalog = told(vec![all(9, vec![put("c", 9, &[4])]), changes(10, vec![put("c", 10, &[])])]);
+    assert_eq!(catalog.version(), Some(4));
+}
+
+/// Somebody else writes rubbish under a backend server's key. It names no server; the others hold.
+#[test]
+fn a_malformed_entry_names_nobody() {
+    let items = vec![put("c", 1, &[1]), put("b-x", 2, &[9]), put("b-y", 3, &[1, 0])];
+    assert_eq!(servers(&told(vec![all(3, items)])), [ready("y")]);
+}
+
+/// A backend server starts anew under its old name, and the last words of its former process arrive
+/// after the first of the new one. Taken at their word, the new process would count as leaving.
+#[test]
+fn a_former_process_is_not_heard() {
+    let catalog = told(vec![
+        all(3, vec![put("c", 1, &[1]), put("b-x", 3, &[7, 0])]),
+        changes(4, vec![put("b-x", 4, &[6, 1])]),
+    ]);
+    assert_eq!(servers(&catalog), [ready("x")]);
+}
+
+/// The service was away, and entries lapsed that nobody could renew. Were all dropped at once, no
+/// request could be served until the backend servers have registered again.
+#[test]
+fn lapsed_entries_are_a_last_resort_for_a_while() {
+    let mut catalog = told(vec![
+        all(3, vec![put("c", 1, &[1]), put("b-x", 2, &[1, 0]), put("b-y", 3, &[1, 0])]),
+        all(9, vec![put("c", 1, &[1]), put("b-y", 3, &[1, 0])]),
+    ]);
+    assert_eq!(servers(&catalog), [last("x"), ready("y")]);
+    assert!(!catalog.expire(NOON + LAPSE - MS));
+    assert!(catalog.expire(NOON + LAPSE));
+    assert_eq!(servers(&catalog), [ready("y")]);
+}
+
+/// A lapsed entry comes back. Its backend server is as good as any.
+#[test]
+fn an_entry_that_is_back_counts_in_full() {
+    let catalog = told(vec![
+        all(3, vec![put("c", 1, &[1]), put("b-x", 2, &[1, 0])]),
+        changes(4, vec![gone("b-x", 4)]),
+        changes(5, vec![put("b-x", 5, &[1, 0])]),
+    ]);
+    assert_eq!(servers(&catalog), [ready("x")]);
+}
+
+/// A backend server reports that it leaves, and then its entry goes. The second must not make it
+/// usable for longer than the first allowed.
+#[test]
+fn a_leaving_server_is_not_kept_longer_by_its_removal() {
+    let mut catalog = told(vec![
+        all(3, vec![put("c", 1, &[1]), put("b-x", 2, &[1, 1])]),
+        changes(4, vec![gone("b-x", 4)]),
+    ]);
+    assert!(catalog.view().is_some());
+    let view = catalog.view().expect("a configuration is known");
+    let until = view.servers["s"][0].last_resort_until;
+    assert_eq!(until, Some(NOON + Duration::from_secs(1)));
+    assert!(catalog.expire(NOON + LAPSE));
+}
+
+/// Operators take a failure domain out and bring it back.
+#[test]
+fn an_evacuation_holds_until_it_is_taken_back() {
+    let mut catalog = told(vec![all(3, vec![put("c", 1, &[1]), put("e-a", 2, &[])])]);
+    let view = catalog.view().expect("a configuration is known");
+    assert!(view.evacuated.contains("a"));
+    let changed = catalog.learn(NOON, changes(4, vec![gone("e-a", 4)]), decode);
+    assert_eq!(changed, [Change::Evacuation("a".into(), false)]);
+    let view = catalog.view().expect("a configuration is known");
+    assert!(view.evacuated.is_empty());
+}
+
+/// A follower that missed nothing but the last changes gets just these; one that was away for longer
+/// than changes are kept gets everything.
+#[test]
+fn followers_get_what_they_miss() {
+    let mut catalog = told(vec![all(3, vec![put("c", 1, &[1])])]);
+    assert_eq!(catalog.news(3), None);
+    catalog.learn(NOON, changes(5, vec![put("b-x", 4, &[1, 0])]), decode);
+    let news = changes(5, vec![put("b-x", 4, &[1, 0])]);
+    assert_eq!(catalog.news(3), Some(news));
+    assert!(matches!(catalog.news(2), Some(News::All { .. })));
+    assert!(matches!(catalog.news(0), Some(News::All { .. })));
+    for revision in 6..2000 {
+        let items = vec![put("b-x", revision, &[1, 0])];
+        catalog.learn(NOON, changes(revision, items), decode);
+    }
+    assert!(matches!(catalog.news(4), Some(News::All { .. })));
+}
+
+/// One published history.
+fn history() -> impl Strategy<Value = Vec<Item>> {
+    let item = (0usize..4, any::<bool>(), 1u8..5);
+    prop::collection::vec(item, 1..30).prop_map(|items| {
+        let keys = ["c", "b-x", "b-y", "e-a"];
+        let numbered = items.into_iter().zip(1..);
+        numbered
+            .map(|((key, removed, value), revision)| match keys[key] {
+                "c" => put("c", revision, &[revision as u8]),
+                key if removed => gone(key, revision),
+                key => put(key, revision, &[1, value % 2]),
+            })
+            .collect()
+    })
+}
+
+proptest! {
+    /// News comes over several hosts: in parts, twice, and older after newer. Whoever has heard all of
+    /// it believes the same as one who heard it once and in order.
+    #[test]
+    fn doubled_and_late_news_change_nothing(
+        history in history(),
+        again in prop::collection::vec(0usize..30, 0..20),
+    ) {
+        let last = history.len() as u64;
+        let in_order = told(vec![changes(last, history.clone())]);
+        let mut twice = told(vec![changes(last, history.clone())]);
+        for place in again {
+            let item = history[place % history.len()].clone();
+            twice.learn(NOON, changes(item.revision, vec![item]), decode);
+        }
+        prop_assert_eq!(twice.view(), in_order.view());
+    }
+}
--- /dev/null
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -0,0 +1,404 @@
+//! One request from its arrival to its answer, over modelled backend servers in virtual time.
+
+mod common;
+
+use common::MS;
+use common::NOON;
+use common::core;
+use common::route;
+use common::scatter;
+use common::server;
+use common::single;
+use common::view;
+use lentillift_core::time::Time;
+use lentillift_scatter::config::Kind;
+use lentillift_scatter::config::Route;
+use lentillift_scatter::core::Core;
+use lentillift_scatter::leg::Target;
+use lentillift_scatter::query::Brought;
+use lentillift_scatter::query::Next;
+use lentillift_scatter::query::Outcome;
+use lentillift_scatter::query::Plan;
+use lentillift_scatter::query::Query;
+use lentillift_scatter::query::Send;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How a backend server treats a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Way {
+    Replies(Duration),
+    Fails(Duration),
+    Rejects(Duration),
+    Refuses,
+    Breaks(Duration),
+    Hangs,
+}
+
+/// How a request went.
+#[derive(Debug)]
+struct Story {
+    next: Next,
+    took: Duration,
+    /// Backend servers that were sent to, in order.
+    sent: Vec<String>,
+    /// Times each was sent to at, after the arrival.
+    at: Vec<Duration>,
+}
+
+/// Plays one request.
+fn play<W>(core: &mut Core, route: Route, patience: Duration, way: W) -> Story
+where
+    W: Fn(&str) -> Way,
+{
+    let view = core.view.clone().expect("a view");
+    let services = match &route.target {
+        lentillift_scatter::config::Target::Scatter(scatter) => scatter.shards.to_vec(),
+        split => vec![split.service("id").expect("a service").clone()],
+    };
+    let route = Arc::new(route);
+    let plan = Plan::new(core, &route, &view, services, NOON, patience);
+    let mut now = NOON;
+    let (mut query, first) = Query::start(core, plan, now);
+    let mut due: BTreeMap<(Time, u64), Outcome> = BTreeMap::new();
+    let (mut sent, mut at) = (Vec::new(), Vec::new());
+    let mut launch = |now: Time, sends: Vec<Send>, due: &mut BTreeMap<_, _>| {
+        for send in sends {
+            let Target::Server(server) = &send.target else {
+                panic!("no hosts here");
+            };
+            let id = server.entry.id.to_string();
+            let load = None;
+            let (after, outcome) = match way(&id) {
+                Way::Replies(after) => (after, Outcome::Part { load }),
+                Way::Fails(after) => (after, Outcome::Failure { load }),
+                Way::Rejects(after) => (after, Outcome::Rejected { load }),
+                Way::Refuses => (MS, Outcome::Unreachable),
+                Way::Breaks(after) => (after, Outcome::Broken),
+                Way::Hangs => (send.left, Outcome::Broken),
+            };
+            let (after, outcome) = match after > send.left {
+                true => (send.left, Outcome::Broken),
+                false => (after, outcome),
+            };
+            sent.push(id);
+            at.push(now - NOON);
+            due.insert((now + after, send.number), outcome);
+        }
+    };
+    launch(now, first, &mut due);
+    loop {
+        let until = match query.next(now) {
+            Next::Wait(until) => until,
+            next => {
+                let took = now - NOON;
+                return Story { next, took, sent, at };
+            }
+        };
+        let sends = match due.first_key_value() {
+            Some(((time, _), _)) if *time <= until => {
+                let ((time, number), outcome) = due.pop_first().expect("an event");
+                now = time;
+                query.ended(core, now, number, outcome)
+            }
+            _ => {
+                now = until;
+                query.tick(core, now)
+            }
+        };
+        launch(now, sends, &mut due);
+    }
+}
+
+/// Two replicas of each shard, in failure domains `a` (this host's) and `b`.
+fn pairs(shards: usize, coverage: f64) -> (Core, Route) {
+    let mut servers = Vec::new();
+    for shard in 0..shards {
+        servers.push(server(&format!("a{shard}"), &format!("s{shard}"), "a"));
+        servers.push(server(&format!("b{shard}"), &format!("s{shard}"), "b"));
+    }
+    let route = route(scatter(shards, coverage), Kind::Idempotent);
+    (core(view(route.clone(), servers)), route)
+}
+
+/// `count` backend servers of one service.
+fn pool(count: usize, kind: Kind) -> (Core, Route) {
+    let servers = (0..count).map(|n| server(&format!("a{n}"), "s", "a")).collect();
+    let route = route(single("s"), kind);
+    (core(view(route.clone(), servers)), route)
+}
+
+const PATIENCE: Duration = Duration::from_secs(1);
+
+fn whole(story: &Story) -> bool {
+    matches!(story.next, Next::Answer { missing: 0, .. })
+}
+
+#[test]
+fn every_shard_is_asked_once_and_near() {
+    let (mut core, route) = pairs(20, 1.0);
+    let story = play(&mut core, route, PATIENCE, |_| Way::Replies(MS * 5));
+    assert!(whole(&story), "{story:?}");
+    assert_eq!(story.sent.len(), 20);
+    assert!(story.sent.iter().all(|id| id.starts_with('a')));
+}
+
+/// One backend server pauses for a moment, as each does every few seconds. Without a hedge the whole
+/// search would take as long as the pause.
+#[test]
+fn a_paused_server_is_hedged() {
+    let (mut core, route) = pairs(20, 1.0);
+    let story = play(&mut core, route, PATIENCE, |id| match id {
+        "a7" => Way::Replies(MS * 400),
+        _ => Way::Replies(MS * 10),
+    });
+    assert!(whole(&story), "{story:?}");
+    assert!(story.took < MS * 60, "{story:?}");
+    assert_eq!(story.sent.len(), 21);
+}
+
+/// Both replicas of one shard are silent. Callers that accept an answer without it get one in time;
+/// it says that a shard is missing.
+#[test]
+fn a_lost_shard_is_left_out_in_time() {
+    let (mut core, route) = pairs(20, 0.9);
+    let story = play(&mut core, route, PATIENCE, |id| match id {
+        "a7" | "b7" => Way::Hangs,
+        _ => Way::Replies(MS * 10),
+    });
+    assert!(matches!(story.next, Next::Answer { missing: 1, .. }), "{story:?}");
+    assert!(story.took < MS * 100, "{story:?}");
+}
+
+/// The same, but the caller wants every shard. There is no answer, and none is made up.
+#[test]
+fn a_lost_shard_is_not_left_out_against_the_callers_will() {
+    let (mut core, route) = pairs(20, 1.0);
+    let story = play(&mut core, route, PATIENCE, |id| match id {
+        "a7" | "b7" => Way::Hangs,
+        _ => Way::Replies(MS * 10),
+    });
+    assert!(matches!(story.next, Next::Timeout | Next::Fail), "{story:?}");
+}
+
+/// Too many shards have no backend server at all. Asking the others would be work for nothing, and
+/// the caller is better told at once.
+#[test]
+fn a_hopeless_search_is_refused_unsent() {
+    let (mut core, _) = pairs(10, 0.9);
+    let story = play(
+        &mut core,
+        route(scatter(20, 0.9), Kind::Idempotent),
+        PATIENCE,
+        |_| Way::Replies(MS),
+    );
+    assert!(matches!(story.next, Next::Refuse(_)), "{story:?}");
+    assert_eq!(story.took, Duration::ZERO);
+    assert!(story.sent.is_empty());
+}
+
+/// A failure domain was taken out of service while a request waited. Nothing more may go there.
+#[test]
+fn an_evacuated_domain_gets_no_hedge() {
+    let (mut core, route) = pairs(1, 1.0);
+    let mut latest = (**core.view.as_ref().expect("a view")).clone();
+    latest.evacuated.insert("b".into());
+    core.adopt(latest);
+    let story = play(&mut core, route, PATIENCE, |_| Way::Hangs);
+    assert_eq!(story.sent, ["a0"]);
+}
+
+macro_rules! single {
+    ($($(#[$doc:meta])* $name:ident: $kind:ident, [$($way:expr),*] => $next:pat, $sends:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let ways = [$($way),*];
+            let (mut core, route) = pool(ways.len(), Kind::$kind);
+            let story = play(&mut core, route, PATIENCE, |id| {
+                ways[id[1..].parse::<usize>().expect("a number")]
+            });
+            assert!(matches!(story.next, $next), "{story:?}");
+            assert_eq!(story.sent.len(), $sends, "{story:?}");
+        }
+    )*};
+}
+
+single! {
+    one_reply: Idempotent, [Way::Replies(MS)] => Next::Answer { .. }, 1;
+    /// A backend server fails a request that may be repeated; another serves it.
+    a_failure_is_retried: Idempotent, [Way::Fails(MS), Way::Replies(MS)] => Next::Answer { .. }, 2;
+    /// The connection breaks; what may be repeated is.
+    a_broken_reply_is_retried: Idempotent, [Way::Breaks(MS), Way::Replies(MS)] => Next::Answer { .. }, 2;
+    /// Two servers fail. The caller gets a server's own failure, not one of ours.
+    the_servers_failure_is_passed_on: Idempotent, [Way::Fails(MS), Way::Fails(MS), Way::Replies(MS)]
+        => Next::Pass(_), 2;
+    /// An action's reply is lost. It may have run, so it is not sent again, and the caller is not told
+    /// that it did not run.
+    an_action_is_never_repeated: Once, [Way::Breaks(MS), Way::Replies(MS)] => Next::Fail, 1;
+    /// An action's server answers nothing until the time is over.
+    a_silent_action_times_out: Once, [Way::Hangs, Way::Replies(MS)] => Next::Timeout | Next::Fail, 1;
+    /// An action's server says that it failed. That is the caller's answer.
+    a_failed_action_is_passed_on: Once, [Way::Fails(MS), Way::Replies(MS)] => Next::Pass(_), 1;
+    /// A full server turns an action away; it did not run, so another may have it.
+    a_rejected_action_goes_on: Once, [Way::Rejects(MS), Way::Replies(MS)] => Next::Answer { .. }, 2;
+    /// Nobody listens at the address; nothing was sent.
+    an_unreachable_server_is_skipped: Once, [Way::Refuses, Way::Replies(MS)] => Next::Answer { .. }, 2;
+    /// Every server turns it away, again and again. It is refused, truly, long before the time is over.
+    rejected_everywhere: Once, [Way::Rejects(MS), Way::Rejects(MS)] => Next::Refuse(_), 3;
+    /// No server can be reached. It is refused at once.
+    unreachable_everywhere: Idempotent, [Way::Refuses, Way::Refuses] => Next::Refuse(_), 2;
+}
+
+/// A request waits for a slow server though half of its time is gone. The second one is asked early
+/// enough to answer within the objective.
+#[test]
+fn a_hedge_leaves_time_for_its_reply() {
+    let (mut core, route) = pool(2, Kind::Idempotent);
+    let story = play(&mut core, route, PATIENCE, |id| match id {
+        "a0" => Way::Hangs,
+        _ => Way::Replies(MS * 20),
+    });
+    assert!(whole(&story), "{story:?}");
+    assert!(story.took < MS * 100, "{story:?}");
+    assert!(story.at[1] <= MS * 40, "{story:?}");
+}
+
+/// Shards without a replica here are asked for through one host. It tells of all but one shard early;
+/// the missing one is asked for directly at the other replica, and no third server ever runs it.
+#[test]
+fn a_late_shard_of_another_host_is_asked_for_directly() {
+    let mut servers = Vec::new();
+    for shard in 0..5 {
+        servers.push(server(&format!("b{shard}"), &format!("s{shard}"), "b"));
+        servers.push(server(&format!("c{shard}"), &format!("s{shard}"), "c"));
+    }
+    let route = route(scatter(5, 1.0), Kind::Idempotent);
+    let mut core = core(view(route.clone(), servers));
+    core.hosts.update([("h".into(), "b".into())]);
+    let view = core.view.clone().expect("a view");
+    let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
+    let plan = Plan::new(&core, &Arc::new(route), &view, services, NOON, PATIENCE);
+    let (mut query, first) = Query::start(&mut core, plan, NOON);
+    let [send] = first.as_slice() else {
+        panic!("one send: {first:?}");
+    };
+    assert!(matches!(&send.target, Target::Host { host, .. } if &**host == "h"));
+    let brought = Brought {
+        done: vec![0, 1, 3, 4],
+        declined: Vec::new(),
+        failed: Vec::new(),
+        last: false,
+    };
+    let now = NOON + send.first;
+    let again = query.ended(&mut core, now, send.number, Outcome::Branch(brought));
+    let [again] = again.as_slice() else {
+        panic!("one more: {again:?}");
+    };
+    assert!(matches!(&again.target, Target::Server(s) if &*s.entry.id == "c2"));
+    let failed = query.ended(&mut core, now + MS, again.number, Outcome::Broken);
+    assert!(failed.is_empty(), "a third server: {failed:?}");
+    let rest = Brought {
+        done: vec![2],
+        declined: Vec::new(),
+        failed: Vec::new(),
+        last: true,
+    };
+    query.ended(&mut core, now + MS * 2, send.number, Outcome::Branch(rest));
+    let expected = Next::Answer {
+        sends: vec![send.number],
+        missing: 0,
+    };
+    assert_eq!(query.next(now + MS * 2), expected);
+}
+
+/// The host that was asked has just died. Its shards are asked for directly, and the next search
+/// does not go through it.
+#[test]
+fn a_dead_host_is_gone_round() {
+    let servers = (0..5).map(|n| server(&format!("b{n}"), &format!("s{n}"), "b"));
+    let route = route(scatter(5, 1.0), Kind::Idempotent);
+    let mut core = core(view(route.clone(), servers.collect()));
+    core.hosts.update([("h".into(), "b".into())]);
+    let view = core.view.clone().expect("a view");
+    let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
+    let plan = Plan::new(&core, &Arc::new(route), &view, services, NOON, PATIENCE);
+    let (mut query, first) = Query::start(&mut core, plan.clone(), NOON);
+    let number = first[0].number;
+    let direct = query.ended(&mut core, NOON + MS, number, Outcome::Unreachable);
+    assert_eq!(direct.len(), 5);
+    assert!(direct.iter().all(|send| !send.repeat), "nothing had arrived");
+    let (_, next) = Query::start(&mut core, plan, NOON + MS);
+    assert_eq!(next.len(), 5, "directly: {next:?}");
+}
+
+fn way() -> impl Strategy<Value = Way> {
+    prop_oneof![
+        4 => (1u32..300).prop_map(|ms| Way::Replies(MS * ms)),
+        1 => (1u32..50).prop_map(|ms| Way::Fails(MS * ms)),
+        1 => (1u32..20).prop_map(|ms| Way::Rejects(MS * ms)),
+        1 => Just(Way::Refuses),
+        1 => (1u32..50).prop_map(|ms| Way::Breaks(MS * ms)),
+        1 => Just(Way::Hangs),
+    ]
+}
+
+proptest! {
+    /// Servers reply, fail, turn away, refuse, break and hang in any mixture. No more of them than
+    /// the route allows run a shard's request, every request ends by its time limit, and an action
+    /// that a server may have run is neither sent again nor called not run.
+    #[test]
+    fn limits_hold_whatever_servers_do(
+        ways in prop::collection::vec(way(), 6),
+        kind in prop::sample::select(vec![Kind::Idempotent, Kind::Once]),
+    ) {
+        let (mut core, route) = pool(ways.len(), kind);
+        let limit = match kind {
+            Kind::Once => 1,
+            Kind::Idempotent => route.attempts as usize,
+        };
+        let of = |id: &str| ways[id[1..].parse::<usize>().expect("a number")];
+        let story = play(&mut core, route, PATIENCE, of);
+        let may_run = |id: &&String| !matches!(of(id), Way::Rejects(_) | Way::Refuses);
+        let ran = story.sent.iter().filter(may_run).count();
+        prop_assert!(ran <= limit, "{story:?}");
+        prop_assert!(story.took <= PATIENCE, "{story:?}");
+        if matches!(story.next, Next::Refuse(_)) {
+            prop_assert_eq!(ran, 0, "{:?}", story);
+        }
+    }
+}
+
+/// A host is asked for shards by another one, which has counted their requests for the budget. Were
+/// they counted again here, the hosts together would repeat a fifth more than the servers bear.
+#[test]
+fn a_host_that_is_asked_earns_no_repeats() {
+    let (mut core, route) = pairs(20, 1.0);
+    core.options.budget.extra = 0;
+    let view = core.view.clone().expect("a view");
+    let services: Vec<_> = (0..20).map(|n| format!("s{n}").into()).collect();
+    let deadline = NOON + PATIENCE;
+    let plan = Plan::branch(&Arc::new(route), &view, services, NOON, deadline);
+    for _ in 0..20 {
+        let (_, sends) = Query::start(&mut core, plan.clone(), NOON);
+        assert!(!sends.is_empty());
+    }
+    assert!(!core.spend(&"s0".into(), NOON));
+}
+
+/// The server near the host that is asked turns a shard's request away. That host does not repeat it,
+/// here or elsewhere; the one that has the caller does.
+#[test]
+fn a_host_that_is_asked_repeats_nothing() {
+    let (mut core, route) = pairs(1, 1.0);
+    let view = core.view.clone().expect("a view");
+    let deadline = NOON + PATIENCE;
+    let plan = Plan::branch(&Arc::new(route), &view, vec!["s0".into()], NOON, deadline);
+    let (mut query, sends) = Query::start(&mut core, plan, NOON);
+    let rejected = Outcome::Rejected { load: None };
+    let again = query.ended(&mut core, NOON + MS, sends[0].number, rejected);
+    assert!(again.is_empty());
+    assert!(query.tick(&mut core, NOON + MS * 500).is_empty());
+}
--- /dev/null
+++ b/crates/lentillift-scatter/tests/replicas.rs
@@ -0,0 +1,147 @@
+//! Which replica is asked: pauses, slow servers, failing ones, queues, and ones that come back.
+
+mod common;
+
+use common::MS;
+use common::NOON;
+use common::core;
+use common::route;
+use common::scatter;
+use common::server;
+use common::view;
+use lentillift_core::time::Time;
+use lentillift_scatter::config::Kind;
+use lentillift_scatter::core::Core;
+use lentillift_scatter::replica::Load;
+use lentillift_scatter::replica::Sign;
+use std::time::Duration;
+
+const TYPICAL: Duration = Duration::from_millis(10);
+
+/// One shard with a near replica and a far one.
+fn pair() -> Core {
+    let route = route(scatter(1, 1.0), Kind::Idempotent);
+    core(view(route, vec![server("near", "s0", "a"), server("far", "s0", "b")]))
+}
+
+fn choice(core: &mut Core, now: Time) -> String {
+    let view = core.view.clone().expect("a view");
+    let choice = core.choose(&view, &"s0".into(), TYPICAL, now, |_| true);
+    choice.map_or("none".to_owned(), |choice| choice.server.entry.id.to_string())
+}
+
+/// Sends once to `id` and notes how it ended.
+fn exchange(core: &mut Core, id: &str, sent: Time, ended: Time, sign: Sign) {
+    let number = core.number();
+    core.book.get(&id.into()).sent(number, sent);
+    core.ended(number, &id.into(), sign, ended, None);
+}
+
+fn slow(factor: f64) -> Sign {
+    Sign::Replied { slowness: factor }
+}
+
+#[test]
+fn near_when_both_are_alike() {
+    assert_eq!(choice(&mut pair(), NOON), "near");
+}
+
+/// The near replica stops answering for a moment. A second request shows it after a few ordinary
+/// reply times, long before any timeout; the next ones go elsewhere.
+#[test]
+fn a_pause_shows_within_a_few_reply_times() {
+    let mut core = pair();
+    core.book.get(&"near".into()).sent(1, NOON);
+    assert_eq!(choice(&mut core, NOON + TYPICAL), "near");
+    assert_eq!(choice(&mut core, NOON + TYPICAL * 4), "far");
+}
+
+/// The pause ends and its requests are answered late, three at once. The server is as fast as before;
+/// held for slow, its requests would cross into another failure domain for seconds.
+#[test]
+fn a_pause_that_is_over_is_forgotten() {
+    let mut core = pair();
+    for number in 1..=3 {
+        core.book.get(&"near".into()).sent(number, NOON);
+    }
+    for number in 1..=3 {
+        core.ended(number, &"near".into(), slow(15.0), NOON + MS * 150, None);
+    }
+    assert_eq!(choice(&mut core, NOON + MS * 151), "near");
+}
+
+/// The near replica is slow for good. After a few replies requests go to the other one.
+#[test]
+fn a_slow_server_is_left() {
+    let mut core = pair();
+    let mut now = NOON;
+    for _ in 0..4 {
+        exchange(&mut core, "near", now, now + TYPICAL * 8, slow(8.0));
+        now += TYPICAL * 8;
+    }
+    assert_eq!(choice(&mut core, now), "far");
+}
+
+/// The slow replica recovers while nobody asks it. It is tried again within seconds.
+#[test]
+fn a_slow_server_is_tried_again() {
+    let mut core = pair();
+    let mut now = NOON;
+    for _ in 0..10 {
+        exchange(&mut core, "near", now, now + TYPICAL * 8, slow(8.0));
+        now += TYPICAL * 8;
+    }
+    assert_eq!(choice(&mut core, now), "far");
+    assert_eq!(choice(&mut core, now + Duration::from_secs(5)), "near");
+}
+
+/// The near replica fails part of its requests though its health is good.
+#[test]
+fn a_failing_server_is_left() {
+    let mut core = pair();
+    for _ in 0..2 {
+        exchange(&mut core, "near", NOON, NOON + MS, Sign::Failed);
+    }
+    assert_eq!(choice(&mut core, NOON + MS * 2), "far");
+}
+
+/// The near replica says in a reply that five requests are ahead. What it said is old soon.
+#[test]
+fn a_queue_is_gone_round_while_it_lasts() {
+    let mut core = pair();
+    let load = Load {
+        running: 2,
+        waiting: 3,
+        slots: 2,
+    };
+    let number = core.number();
+    core.book.get(&"near".into()).sent(number, NOON);
+    core.ended(number, &"near".into(), slow(1.0), NOON + TYPICAL, Some(load));
+    assert_eq!(choice(&mut core, NOON + TYPICAL), "far");
+    assert_eq!(choice(&mut core, NOON + MS * 200), "near");
+}
+
+/// Nobody listens at the near replica's address. It is left alone, for longer each time, and tried
+/// again.
+#[test]
+fn an_unreachable_server_is_left_alone_for_a_while() {
+    let mut core = pair();
+    exchange(&mut core, "near", NOON, NOON, Sign::Unreachable);
+    assert_eq!(choice(&mut core, NOON + MS * 50), "far");
+    assert_eq!(choice(&mut core, NOON + MS * 150), "near");
+    exchange(&mut core, "near", NOON, NOON + MS * 150, Sign::Unreachable);
+    assert_eq!(choice(&mut core, NOON + MS * 300), "far");
+}
+
+/// Both replicas have more requests under way than this host's part of their connections. One more
+/// would be reset, or take a connection from another host.
+#[test]
+fn no_more_requests_than_connections() {
+    let mut core = pair();
+    core.share.hosts = 100;
+    for id in ["near", "far"] {
+        core.book.get(&id.into()).sent(1, NOON);
+        core.book.get(&id.into()).sent(2, NOON);
+    }
+    assert_eq!(choice(&mut core, NOON), "none");
+}
