Hedge only stragglers, and stay near unless the far replica is twice as good

Cause: a host that is slow itself saw all its replies late and sent everything twice (90 repeats in a query of 90 shards); and a far replica was taken for a queue of one. Ruled out: the servers, whose own reply times stayed ordinary. Change: hedges wait while more than a quarter of the shards are open, up to half of the objective; a far replica has to be better by a whole reply time; hedges after the 95th percentile.

--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -58,7 +58,7 @@
             },
             margin: Duration::from_millis(12),
             patience: 2,
-            hedge_quantile: 0.92,
+            hedge_quantile: 0.95,
             hedge_by: 0.35,
             branches: true,
         }
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -39,6 +39,18 @@
 /// and as much again for a host that is busy.
 const BRANCH_TRIP: Duration = Duration::from_millis(8);
 
+/// Largest part of the shards that are hedged as stragglers.
+///
+/// If more are late than that, this host is what is slow: it has not got round to sending or reading
+/// yet, and to send everything twice would make it slower still.
+const STRAGGLERS: f64 = 0.25;
+
+/// Time after which it is looked again whether replies have come in.
+const HOLD: Duration = Duration::from_millis(4);
+
+/// Part of the objective after which that no longer counts: a reply that is sent for later comes late.
+const LAST_HEDGE: f64 = 0.5;
+
 /// Shortest pause before a replica that turned a request away is asked again.
 const AGAIN: Duration = Duration::from_millis(8);
 
@@ -684,17 +696,33 @@
     /// Says what to send now that time has passed.
     pub fn tick(&mut self, core: &mut Core, now: Time) -> Vec<Send> {
         let mut sends = Vec::new();
+        let held = self.holds_hedges(now);
         for leg in 0..self.legs.len() {
-            let state = &self.legs[leg];
+            let state = &mut self.legs[leg];
             if state.done.is_some() || state.hedge_at.is_none_or(|at| at > now) {
                 continue;
             }
+            if let Some(until) = held
+                && !state.tries.is_empty()
+            {
+                state.hedge_at = Some(until);
+                continue;
+            }
             self.doubt_hosts(core, leg, now);
             sends.extend(self.again(core, leg, now, Turned::Ask));
         }
         sends
     }
 
+    /// Until when hedges wait because too much is late for it to be the servers' fault.
+    fn holds_hedges(&self, now: Time) -> Option<Time> {
+        let open = self.legs.iter().filter(|leg| leg.done.is_none()).count();
+        let few = (self.legs.len() as f64 * STRAGGLERS).max(2.0);
+        let last = self.plan.arrived + self.plan.route.objective.mul_f64(LAST_HEDGE);
+        let held = open as f64 > few && now < last;
+        held.then(|| last.min(now + HOLD))
+    }
+
     /// Holds a host that is late for one in trouble.
     fn doubt_hosts(&self, core: &mut Core, leg: usize, now: Time) {
         for sent in &self.legs[leg].tries {
--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -45,7 +45,7 @@
 ///
 /// Reply times differ by as much by chance; without it two replicas that are equally good share the
 /// load, and half of all bytes cross between failure domains.
-const FAR_SHARE: f64 = 0.6;
+const FAR_SHARE: f64 = 1.0;
 
 /// Pause after a server could not be reached, doubled each time up to [`MOST_BACKOFF`].
 const BACKOFF: Duration = Duration::from_millis(100);
