Share a search of many shards among the hosts of a failure domain

Cause: a host of 0.12 core takes 75 ms of its processor's time to send and read 90 requests, with an objective of 60 ms.

--- a/crates/lentillift-fleet/src/swim.rs
+++ b/crates/lentillift-fleet/src/swim.rs
@@ -5,6 +5,8 @@
 //! that knows of no other serves alone. It shares its parts with [`crate::core`], which adds values,
 //! leases and the published list of hosts.
 
+use crate::drift;
+use crate::drift::Drift;
 use crate::gossip::Queue;
 use crate::life::Any;
 use crate::life::Life;
@@ -64,6 +66,7 @@
     home: BTreeMap<id::Domain, id::Region>,
     /// When a peer last answered.
     heard: Option<Time>,
+    drift: Drift,
 }
 
 impl<R> Swim<R>
@@ -92,6 +95,7 @@
             queue: Queue::default(),
             home,
             heard: None,
+            drift: Drift::default(),
         }
     }
 
@@ -180,12 +184,13 @@
         if again {
             self.seeds_asked = now;
         }
-        let home = &self.home;
-        let region = home.get(&self.own.domain);
+        let domain = &self.own.domain;
         let fresh = self.heard.is_some_and(|heard| now < heard + JOINING);
         let around = Around {
             table: &self.table,
-            is_home: |m: &Member| home.get(&m.domain) == region,
+            // Probes stay in the failure domain but for one in eight: bytes between failure domains
+            // are dear, and each domain's own hosts notice a dead one just as soon.
+            is_home: |m: &Member| m.domain == *domain,
             seeds: &self.seeds,
             starting: joining || again,
             fresh,
@@ -228,7 +233,10 @@
     /// Takes in a datagram.
     pub fn packet(&mut self, now: Time, packet: Packet) -> Vec<Effect> {
         let Packet {
-            from, body, news, ..
+            from,
+            body,
+            news,
+            digest,
         } = packet;
         if from.host == self.own.host {
             return Vec::new();
@@ -240,6 +248,9 @@
                 effects.extend(self.learn(now, &member));
             }
         }
+        if !unknown {
+            effects.extend(self.compare(now, &from, digest.members));
+        }
         let address = from.address;
         match body {
             Body::Ping(sequence) => {
@@ -310,11 +321,34 @@
         if !self.table.merge(now, news) {
             return Vec::new();
         }
-        let hosts = self.table.len();
-        self.queue.push(News::Member(news.clone()), hosts);
+        // What a process that joins is told is news to nobody else. When all hosts of a fleet start
+        // at once, each would otherwise pass each other one on twenty times.
+        let joining = now < self.started + JOINING;
+        if !joining || news.is_over() {
+            let hosts = self.table.len();
+            self.queue.push(News::Member(news.clone()), hosts);
+        }
         vec![Effect::Changed(news.clone())]
     }
 
+    /// Tells a host whose picture has differed from this one's for a while of all hosts.
+    ///
+    /// News is passed on a few times only, and datagrams get lost; without this a host could miss
+    /// another for good.
+    fn compare(&mut self, now: Time, from: &Member, theirs: u64) -> Vec<Effect> {
+        let same = theirs == self.digest();
+        let patience = drift::member_patience(self.table.len());
+        match self.drift.observe(now, same, patience) {
+            true => self.introduce(from.address),
+            false => Vec::new(),
+        }
+    }
+
+    /// Equal for two processes that know the same of all hosts.
+    fn digest(&self) -> u64 {
+        self.table.digest() ^ self.own.digest()
+    }
+
     fn refute(&mut self, news: &Member) {
         let Some(life) = &mut self.life else {
             return;
@@ -341,7 +375,7 @@
             from: self.own.clone(),
             digest: Digest {
                 values: 0,
-                members: 0,
+                members: self.digest(),
             },
             body,
             news,
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -193,16 +193,20 @@
         near_hosts: 1,
         started: now,
     };
-    let ticket = lentillift_fleet::rendezvous::weight("ticket", &settings.name);
     let tuning = settings.tuning.clone();
-    let core = Core::new(tuning.options, settings.domain.clone(), share, ticket);
+    let core = Core::new(
+        tuning.options,
+        settings.name.clone(),
+        settings.domain.clone(),
+        share,
+    );
     let swim = Swim::new(
         probe::Options::default(),
         now,
         me,
         tuning.seeds,
         settings.regions.clone(),
-        StdRng::seed_from_u64(incarnation ^ ticket),
+        StdRng::seed_from_u64(incarnation ^ core.ticket),
     );
     Rc::new(Host {
         name: settings.name.clone(),
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -16,6 +16,7 @@
 use crate::view::View;
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use lentillift_fleet::rendezvous;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,6 +43,11 @@
     pub hedge_by: f64,
     /// Whether other hosts are asked for shards that have no replica in this failure domain.
     pub branches: bool,
+    /// Shards that one host asks for by itself in one search; others are asked for the rest.
+    ///
+    /// A host sends and reads one after the other, so a search of many shards takes as long as its
+    /// slowest host is busy with it.
+    pub direct: usize,
 }
 
 impl Default for Options {
@@ -61,6 +67,7 @@
             hedge_quantile: 0.95,
             hedge_by: 0.35,
             branches: true,
+            direct: 32,
         }
     }
 }
@@ -109,6 +116,8 @@
 pub struct Core {
     /// Figures.
     pub options: Options,
+    /// This host's name.
+    pub name: id::Host,
     /// This host's failure domain.
     pub domain: id::Domain,
     /// This host's share of what all may do.
@@ -137,13 +146,14 @@
 
 impl Core {
     /// Starts with nothing known.
-    pub fn new(options: Options, domain: id::Domain, share: Share, ticket: u64) -> Self {
+    pub fn new(options: Options, name: id::Host, domain: id::Domain, share: Share) -> Self {
         Self {
             options,
+            ticket: rendezvous::weight("ticket", &name),
+            name,
             domain,
             share,
             view: None,
-            ticket,
             book: Book::default(),
             hosts: Hosts::default(),
             budgets: HashMap::new(),
--- a/crates/lentillift-scatter/src/host.rs
+++ b/crates/lentillift-scatter/src/host.rs
@@ -6,12 +6,33 @@
 
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use lentillift_fleet::rendezvous;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How long a host that was late is left alone: as long as a freeze or a restart lasts.
 const DOUBT: Duration = Duration::from_secs(2);
 
+/// Fewest hosts of a failure domain that are asked for the same shards, so that one may be busy.
+const LEAST_OWNERS: usize = 2;
+
+/// One of the parts into which the shards of a search are divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Bucket {
+    /// Its number, from 0.
+    pub number: usize,
+    /// How many there are.
+    pub of: usize,
+}
+
+impl Bucket {
+    /// The bucket of a service, the same on all hosts.
+    pub fn of(service: &str, of: usize) -> Self {
+        let number = (rendezvous::weight("bucket", service) % of.max(1) as u64) as usize;
+        Self { number, of }
+    }
+}
+
 /// Another host.
 #[derive(Debug, Default)]
 struct Host {
@@ -49,6 +70,29 @@
         best.map(|(name, _)| name.clone())
     }
 
+    /// The host to ask in `domain` for the shards of one of `buckets` parts; none if `me` should do
+    /// it itself.
+    ///
+    /// All hosts of a failure domain rank the hosts of a bucket alike, so each backend server is asked
+    /// by few of them: they need fewer connections, and see its pauses sooner.
+    pub fn owner(&self, domain: &str, me: &str, bucket: Bucket, now: Time) -> Option<id::Host> {
+        let key = format!("{}/{}", bucket.number, bucket.of);
+        let fit = self.known.iter().filter(|(_, host)| *host.domain == *domain);
+        let fit = fit.filter(|(_, host)| host.avoid_until <= now);
+        let mut ranked: Vec<(&str, u32, Time)> = fit
+            .map(|(name, host)| (&**name, host.pending, host.used))
+            .collect();
+        ranked.push((me, 0, now));
+        ranked.sort_by_cached_key(|(name, ..)| std::cmp::Reverse(rendezvous::weight(&key, name)));
+        let owners = (ranked.len() / bucket.of.max(1)).max(LEAST_OWNERS);
+        ranked.truncate(owners);
+        if ranked.iter().any(|(name, ..)| *name == me) {
+            return None;
+        }
+        let best = ranked.into_iter().min_by_key(|(_, pending, used)| (*pending, *used));
+        best.map(|(name, ..)| name.into())
+    }
+
     /// When a host was last asked.
     pub fn used(&self, name: &str) -> Time {
         self.known.get(name).map_or(Time::ZERO, |host| host.used)
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -16,6 +16,7 @@
 use crate::config::Route;
 use crate::core::Choice;
 use crate::core::Core;
+use crate::host::Bucket;
 use crate::leg::Leg;
 use crate::leg::State;
 use crate::leg::Target;
@@ -237,6 +238,17 @@
     told: bool,
 }
 
+impl Branch {
+    fn new(host: id::Host, domain: &id::Domain, legs: Vec<usize>) -> Self {
+        Self {
+            host,
+            domain: domain.clone(),
+            legs,
+            told: false,
+        }
+    }
+}
+
 /// One request.
 #[derive(Debug)]
 pub struct Query {
@@ -323,46 +335,69 @@
         sends
     }
 
+    /// Legs that other hosts should be asked for.
+    fn groups(&self, core: &Core, choices: &[Option<Choice>], now: Time) -> Vec<Branch> {
+        let reachable = (0..self.legs.len()).filter(|leg| choices[*leg].is_some());
+        let (near, far) = reachable.partition(|leg| {
+            let mut servers = self.servers(core, *leg);
+            servers.any(|server| server.entry.domain == core.domain)
+        });
+        let mut groups = self.far_groups(core, far, now);
+        groups.extend(self.near_groups(core, near, now));
+        groups
+    }
+
+    fn servers<'a>(&self, core: &'a Core, leg: usize) -> impl Iterator<Item = &'a Arc<Server>> {
+        let service = &self.legs[leg].service;
+        let view = core.view.as_ref();
+        view.and_then(|view| view.servers.get(service)).into_iter().flatten()
+    }
+
+    /// Legs with a replica here that are too many for one host, by the hosts that share them.
+    fn near_groups(&self, core: &Core, legs: Vec<usize>, now: Time) -> Vec<Branch> {
+        let buckets = legs.len().div_ceil(core.options.direct.max(1));
+        if buckets < 2 {
+            return Vec::new();
+        }
+        let mut parts: BTreeMap<Bucket, Vec<usize>> = BTreeMap::new();
+        for leg in legs {
+            let bucket = Bucket::of(&self.legs[leg].service, buckets);
+            parts.entry(bucket).or_default().push(leg);
+        }
+        let domain = &core.domain;
+        let parts = parts.into_iter().filter_map(|(bucket, legs)| {
+            let host = core.hosts.owner(domain, &core.name, bucket, now)?;
+            Some(Branch::new(host, domain, legs))
+        });
+        parts.collect()
+    }
+
     /// Legs without a replica in this failure domain, by the hosts that should be asked for them.
     ///
     /// As few hosts as possible: of replicas in two other failure domains either will do, and one
     /// reply for all of them is smaller than two.
-    fn groups(&self, core: &Core, choices: &[Option<Choice>], now: Time) -> Vec<Branch> {
-        let latest = core.view.clone();
-        let servers = |leg: &usize| {
-            let service = &self.legs[*leg].service;
-            let latest = latest.as_ref();
-            latest.and_then(|view| view.servers.get(service)).into_iter().flatten()
-        };
-        let reachable = (0..self.legs.len()).filter(|leg| choices[*leg].is_some());
-        let mut rest: Vec<usize> = reachable
-            .filter(|leg| servers(leg).all(|server| server.entry.domain != core.domain))
-            .collect();
+    fn far_groups(&self, core: &Core, mut rest: Vec<usize>, now: Time) -> Vec<Branch> {
         let mut groups = Vec::new();
         while !rest.is_empty() {
             let mut covers: BTreeMap<&id::Domain, Vec<usize>> = BTreeMap::new();
             for leg in &rest {
                 let domains: BTreeSet<&id::Domain> =
-                    servers(leg).map(|server| &server.entry.domain).collect();
+                    self.servers(core, *leg).map(|server| &server.entry.domain).collect();
                 for domain in domains {
                     covers.entry(domain).or_default().push(*leg);
                 }
             }
             let hosts = covers.into_iter().filter_map(|(domain, legs)| {
                 let host = core.hosts.choose(domain, now)?;
-                Some(Branch {
-                    host,
-                    domain: domain.clone(),
-                    legs,
-                    told: false,
-                })
+                Some(Branch::new(host, domain, legs))
             });
             let best = hosts.max_by_key(|group| {
                 (group.legs.len(), std::cmp::Reverse(core.hosts.used(&group.host)))
             });
-            let Some(group) = best else {
+            let Some(mut group) = best else {
                 break;
             };
+            group.legs.truncate(core.options.direct.max(LEAST_BRANCH));
             rest.retain(|leg| !group.legs.contains(leg));
             groups.push(group);
         }
--- a/crates/lentillift-scatter/tests/common/mod.rs
+++ b/crates/lentillift-scatter/tests/common/mod.rs
@@ -135,7 +135,7 @@
         near_hosts: 1,
         started: Time::ZERO,
     };
-    let mut core = Core::new(options(), "a".into(), share, 0);
+    let mut core = Core::new(options(), "me".into(), "a".into(), share);
     core.adopt(view);
     core
 }
