Let hosts that start together know each other within seconds

Change: full accounts at once while a start settles, bounded to 200 KB a second, also of hosts that ended; news goes to two hosts within a tick.

--- a/crates/lentillift-fleet/src/swim.rs
+++ b/crates/lentillift-fleet/src/swim.rs
@@ -35,11 +35,21 @@
 /// How long this process asks the seeds and many hosts at a time, so that it soon knows the fleet.
 const JOINING: Duration = Duration::from_secs(2);
 
+/// How long pictures are expected to differ after a start, because hosts of the fleet start together.
+const SETTLING: Duration = Duration::from_secs(10);
+
+/// Time between two full accounts while they do, for each host that they name: some 60 bytes each, so
+/// that hosts that start at once know each other within seconds and send 200 KB a second at most.
+const TABLE_TIME: Duration = Duration::from_micros(300);
+
 /// Time between two questions to the seeds once others are known.
 ///
 /// Two parts of a fleet that started apart, each with its own seed, find each other only so.
 const SEED_PERIOD: Duration = Duration::from_secs(10);
 
+/// Hosts that are told of news at once.
+const PUSHES: usize = 2;
+
 /// What to do.
 #[derive(Debug)]
 pub enum Effect {
@@ -67,6 +77,8 @@
     /// When a peer last answered.
     heard: Option<Time>,
     drift: Drift,
+    /// When a full account may be sent again.
+    next_table: Time,
 }
 
 impl<R> Swim<R>
@@ -96,6 +108,7 @@
             home,
             heard: None,
             drift: Drift::default(),
+            next_table: now,
         }
     }
 
@@ -168,7 +181,7 @@
     fn push(&mut self) -> Vec<Effect> {
         use rand::seq::IteratorRandom;
         let usable = self.table.iter().filter(|m| !m.is_over());
-        let drawn = usable.choose_multiple(&mut self.rng, 3);
+        let drawn = usable.choose_multiple(&mut self.rng, PUSHES);
         let addresses: Vec<SocketAddr> = drawn.into_iter().map(|m| m.address).collect();
         let addresses = addresses.into_iter();
         addresses
@@ -197,7 +210,12 @@
         };
         let actions = self.prober.tick(now, &around, &mut self.rng);
         let actions = actions.into_iter();
-        actions.flat_map(|action| self.act(now, action)).collect()
+        let mut effects: Vec<Effect> = actions.flat_map(|action| self.act(now, action)).collect();
+        // News that waited for a probe would stay in the failure domain for seconds.
+        if self.queue.has_new() {
+            effects.extend(self.push());
+        }
+        effects
     }
 
     fn act(&mut self, now: Time, action: probe::Action) -> Vec<Effect> {
@@ -293,7 +311,8 @@
     /// News alone would reach it only of hosts that change after it came.
     fn introduce(&self, to: SocketAddr) -> Vec<Effect> {
         let known = self.table.iter().filter(|m| m.address != to);
-        let known = known.filter(|m| m.version > 0 && !m.is_over());
+        // Those that are over too: whoever missed an end would wait for that host for good.
+        let known = known.filter(|m| m.version > 0);
         let mut batches = vec![Vec::new()];
         let mut room = crate::packet::NEWS_BYTES;
         for member in known {
@@ -337,6 +356,13 @@
     /// another for good.
     fn compare(&mut self, now: Time, from: &Member, theirs: u64) -> Vec<Effect> {
         let same = theirs == self.digest();
+        if now < self.started + SETTLING {
+            if same || now < self.next_table {
+                return Vec::new();
+            }
+            self.next_table = now + TABLE_TIME * self.table.len() as u32;
+            return self.introduce(from.address);
+        }
         let patience = drift::member_patience(self.table.len());
         match self.drift.observe(now, same, patience) {
             true => self.introduce(from.address),
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -169,7 +169,8 @@
     Ok(())
 }
 
-fn make<D, S>(settings: &Settings, dialect: D, source: S) -> Rc<Host<D, S>>
+/// Makes what the tasks of a process share.
+pub fn make<D, S>(settings: &Settings, dialect: D, source: S) -> Rc<Host<D, S>>
 where
     D: Dialect,
     S: Source,
@@ -358,7 +359,7 @@
 type Body = Either<Full<Bytes>, frame::Body>;
 
 /// Serves other hosts.
-async fn nodes<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
+pub async fn nodes<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
 where
     D: Dialect,
     S: Source,
--- /dev/null
+++ b/crates/lentillift-gateway/tests/hosts.rs
@@ -0,0 +1,179 @@
+//! What hosts tell each other: parts of a search, and what is published.
+
+mod common;
+
+use common::Act;
+use common::Memory;
+use common::Shared;
+use common::ask;
+use common::backend;
+use common::get;
+use common::header;
+use common::host;
+use common::item;
+use common::listener;
+use common::run;
+use common::status;
+use common::whole;
+use lentillift_fleet::packet::Body;
+use lentillift_fleet::packet::Digest;
+use lentillift_fleet::packet::Packet;
+use lentillift_gateway::daemon;
+use lentillift_gateway::feed;
+use lentillift_gateway::front;
+use lentillift_scatter::source::Item;
+use lentillift_scatter::source::News;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A host whose other hosts are served.
+async fn start(name: &str, domain: &str, items: Vec<Item>) -> Shared {
+    let (listener, node) = listener().await;
+    let host = host(name, domain, node, Memory::default());
+    if !items.is_empty() {
+        host.learn(Some(News::All { revision: 1, items }), Duration::ZERO);
+    }
+    host.swim.borrow_mut().serve();
+    tokio::task::spawn_local(daemon::nodes(host.clone(), listener));
+    host
+}
+
+/// Makes `host` known to `to`.
+fn introduce(host: &Shared, to: &Shared) {
+    let from = host.swim.borrow().own().clone();
+    let packet = Packet {
+        from,
+        digest: Digest {
+            values: 0,
+            members: 0,
+        },
+        body: Body::Push,
+        news: Vec::new(),
+    };
+    to.swim.borrow_mut().packet(to.now(), packet);
+    to.count_hosts();
+}
+
+async fn front(host: &Shared) -> SocketAddr {
+    let (listener, address) = listener().await;
+    tokio::task::spawn_local(front::serve(host.clone(), listener));
+    address
+}
+
+/// Five shards with one replica each in failure domain `b`.
+async fn shards(acts: [Act; 5]) -> Vec<Item> {
+    let mut items = vec![item("config", "s0 s1 s2 s3 s4".to_owned())];
+    for (n, act) in acts.into_iter().enumerate() {
+        let server = backend(vec![act]).await;
+        items.push(item(&format!("b{n}"), format!("s{n} {} b", server.address)));
+    }
+    items
+}
+
+fn record(letter: char) -> Act {
+    Act::Write(whole(&letter.to_string().repeat(16)))
+}
+
+fn counted(host: &Shared, line: &str) -> bool {
+    host.board.render().contains(line)
+}
+
+#[test]
+fn another_host_merges_what_is_far() {
+    run(async {
+        let acts = ['a', 'e', 'c', 'b', 'd'].map(record);
+        let items = shards(acts).await;
+        let entry = start("entry", "a", items.clone()).await;
+        let helper = start("helper", "b", items).await;
+        introduce(&helper, &entry);
+        let answer = ask(front(&entry).await, &get("/all/x", "i")).await;
+        assert_eq!(status(&answer), 200);
+        assert_eq!(header(&answer, "x-missing").as_deref(), Some("0"));
+        let expected: String = ['e', 'd', 'c', 'b', 'a'].map(|c| c.to_string().repeat(16)).concat();
+        assert!(answer.ends_with(&expected), "{answer}");
+        assert!(counted(&entry, "ways_total{kind=\"host\"} 1"));
+        assert!(!counted(&entry, "kind=\"far\""));
+    });
+}
+
+/// The host that is asked does not know the route yet, as after a change of the configuration. It
+/// declines, nothing was sent, and the backend servers are asked directly.
+#[test]
+fn a_host_that_declines_costs_nothing() {
+    run(async {
+        let items = shards(['a', 'b', 'c', 'd', 'e'].map(record)).await;
+        let entry = start("entry", "a", items).await;
+        let helper = start("helper", "b", Vec::new()).await;
+        introduce(&helper, &entry);
+        let answer = ask(front(&entry).await, &get("/all/x", "i")).await;
+        assert_eq!(status(&answer), 200);
+        assert_eq!(header(&answer, "x-missing").as_deref(), Some("0"));
+        assert!(counted(&entry, "ways_total{kind=\"far\"} 5"));
+    });
+}
+
+/// The host that is asked is gone, and nobody listens at its address.
+#[test]
+fn a_host_that_is_gone_is_gone_round() {
+    run(async {
+        let items = shards(['a', 'b', 'c', 'd', 'e'].map(record)).await;
+        let entry = start("entry", "a", items).await;
+        let (closed, node) = listener().await;
+        drop(closed);
+        let gone = host("gone", "b", node, Memory::default());
+        gone.swim.borrow_mut().serve();
+        introduce(&gone, &entry);
+        let answer = ask(front(&entry).await, &get("/all/x", "i")).await;
+        assert_eq!(status(&answer), 200);
+        assert_eq!(header(&answer, "x-missing").as_deref(), Some("0"));
+    });
+}
+
+/// One backend server of the host that is asked fails. The answer says that one part is missing.
+#[test]
+fn a_part_that_failed_elsewhere_is_missing() {
+    run(async {
+        let failure = "HTTP/1.1 500 Oops\r\nx-signature: s\r\nContent-Length: 0\r\n\r\n";
+        let mut acts = ['a', 'b', 'c', 'd', 'e'].map(record);
+        acts[2] = Act::Write(failure.to_owned());
+        let items = shards(acts).await;
+        let entry = start("entry", "a", items.clone()).await;
+        let helper = start("helper", "b", items).await;
+        introduce(&helper, &entry);
+        let answer = ask(front(&entry).await, &get("/all/x", "i")).await;
+        assert_eq!(status(&answer), 200);
+        assert_eq!(header(&answer, "x-missing").as_deref(), Some("1"));
+        let parts = header(&answer, "x-parts").expect("parts");
+        assert_eq!(parts.split(',').count(), 4);
+    });
+}
+
+/// One host reads what is published and the other follows it: at first everything, then each change.
+#[test]
+fn a_follower_learns_everything_and_each_change() {
+    run(async {
+        let items = shards(['a', 'b', 'c', 'd', 'e'].map(record)).await;
+        let reader = start("reader", "a", items).await;
+        let follower = start("follower", "a", Vec::new()).await;
+        introduce(&reader, &follower);
+        introduce(&follower, &reader);
+        let mut changed = follower.changed.subscribe();
+        tokio::task::spawn_local(feed::follow(follower.clone()));
+        changed.changed().await.expect("a change");
+        assert!(follower.is_ready());
+        let news = News::Changes {
+            revision: 9,
+            items: vec![Item {
+                key: "b4".to_owned(),
+                revision: 9,
+                value: None,
+            }],
+        };
+        reader.learn(Some(news), Duration::ZERO);
+        while follower.catalog.borrow().revision() < 9 {
+            changed.changed().await.expect("a change");
+        }
+        let view = follower.core.borrow().view.clone().expect("a view");
+        assert!(view.servers["s4"][0].last_resort_until.is_some());
+    });
+}
