--- a/crates/lentillift-fleet/tests/swim.rs
+++ b/crates/lentillift-fleet/tests/swim.rs
@@ -104,7 +104,8 @@
             let lost = self.rng.random_range(0..100) < self.loss;
             if !lost && !self.cut.contains(&(from, to)) && !self.cut.contains(&(to, from)) {
                 self.next += 1;
-                self.flying.insert((self.now + DELAY, self.next), (to, packet));
+                self.flying
+                    .insert((self.now + DELAY, self.next), (to, packet));
             }
         }
     }
@@ -139,7 +140,9 @@
     }
 
     fn all_know(&self, count: usize) -> bool {
-        self.hosts.keys().all(|number| self.serving(*number).len() == count - 1)
+        self.hosts
+            .keys()
+            .all(|number| self.serving(*number).len() == count - 1)
     }
 }
 
--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -181,7 +181,9 @@
             Err(_) => return Told::without(Outcome::Broken, "host did not tell everything"),
         };
         let legs = |places: &[u16]| -> Vec<usize> {
-            let legs = places.iter().filter_map(|p| self.send.legs.get(usize::from(*p)));
+            let legs = places
+                .iter()
+                .filter_map(|p| self.send.legs.get(usize::from(*p)));
             legs.copied().collect()
         };
         let places: Vec<u16> = answer.parts.iter().map(|(place, _)| *place).collect();
@@ -239,10 +241,13 @@
 {
     let question: Question = frame::decode(body, "host")?;
     let branch = Branch::start(host, question)?;
-    Ok(frame::body(stream::unfold(branch, |mut branch| async move {
-        let bytes = branch.next().await?;
-        Some((bytes, branch))
-    })))
+    Ok(frame::body(stream::unfold(
+        branch,
+        |mut branch| async move {
+            let bytes = branch.next().await?;
+            Some((bytes, branch))
+        },
+    )))
 }
 
 /// Another host's question that is being answered.
@@ -278,8 +283,11 @@
         };
         let message = message(&question)?;
         let now = host.now();
-        let services: Vec<id::Service> =
-            question.services.iter().map(|s| s.as_str().into()).collect();
+        let services: Vec<id::Service> = question
+            .services
+            .iter()
+            .map(|s| s.as_str().into())
+            .collect();
         let deadline = now + Duration::from_millis(question.left_ms.into());
         let told = vec![false; services.len()];
         let plan = Plan::branch(&route, &view, services, now, deadline);
@@ -307,7 +315,11 @@
             if ready == open || now >= deadline || (early && ready > 0) {
                 return self.tell(&news, now >= deadline);
             }
-            let until = if now < self.first { self.first } else { deadline };
+            let until = if now < self.first {
+                self.first
+            } else {
+                deadline
+            };
             self.run.step(until).await;
         }
     }
@@ -365,4 +377,3 @@
         id: question.id.as_str().into(),
     })
 }
-
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -162,8 +162,8 @@
     tokio::task::spawn_local(keep_house(host.clone(), socket.clone()));
     tokio::task::spawn_local(watch_settings(host.clone(), reload));
     tokio::task::spawn_local(front::serve(host.clone(), front));
-    let mut term = signal(SignalKind::terminate())
-        .map_err(|e| Error::new(Step::Listen, "signals", e))?;
+    let mut term =
+        signal(SignalKind::terminate()).map_err(|e| Error::new(Step::Listen, "signals", e))?;
     term.recv().await;
     end(&host, &socket, settings.grace).await;
     Ok(())
@@ -275,7 +275,11 @@
             host.pool.sweep(known);
             if !serving {
                 serving = true;
-                info!(event = "ready", config = view.config.version, "taking callers");
+                info!(
+                    event = "ready",
+                    config = view.config.version,
+                    "taking callers"
+                );
                 let effects = host.swim.borrow_mut().serve();
                 member::act(&host, &socket, effects);
                 host.count_hosts();
@@ -284,7 +288,10 @@
         let board = &host.board;
         board.gauge("connections_opened", host.pool.opened() as f64);
         board.gauge("connections_idle", host.pool.idle() as f64);
-        board.gauge("age_seconds", host.age().map_or(-1.0, |age| age.as_secs_f64()));
+        board.gauge(
+            "age_seconds",
+            host.age().map_or(-1.0, |age| age.as_secs_f64()),
+        );
     }
 }
 
@@ -308,7 +315,11 @@
             () = tokio::time::sleep(SETTINGS_PERIOD) => {}
         }
         if let Some(tuning) = reload() {
-            info!(event = "reload", seeds = tuning.seeds.len(), "settings changed");
+            info!(
+                event = "reload",
+                seeds = tuning.seeds.len(),
+                "settings changed"
+            );
             host.swim.borrow_mut().reseed(tuning.seeds);
             host.core.borrow_mut().options = tuning.options;
         }
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -210,7 +210,9 @@
     let (mut head, body) = request.into_parts();
     let ask = host.dialect.ask(&head);
     let named = head.headers.get(header::HOST);
-    let authority = named.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let authority = named
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
     let authority: Rc<str> = authority.into();
     let Some(route) = view.config.route(&authority, head.uri.path()).cloned() else {
         return Err(status(StatusCode::NOT_FOUND));
@@ -245,11 +247,7 @@
 }
 
 /// The answer, and a word for it in logs and counters.
-fn conclude<D, S>(
-    host: &Host<D, S>,
-    route: &Route,
-    done: &Done,
-) -> (&'static str, Response<Bytes>)
+fn conclude<D, S>(host: &Host<D, S>, route: &Route, done: &Done) -> (&'static str, Response<Bytes>)
 where
     D: Dialect,
 {
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -83,6 +83,12 @@
         text,
         "lentillift_{name}_seconds_bucket{{kind=\"{label}\",le=\"+Inf\"}} {count}"
     );
-    let _ = writeln!(text, "lentillift_{name}_seconds_sum{{kind=\"{label}\"}} {sum}");
-    let _ = writeln!(text, "lentillift_{name}_seconds_count{{kind=\"{label}\"}} {count}");
+    let _ = writeln!(
+        text,
+        "lentillift_{name}_seconds_sum{{kind=\"{label}\"}} {sum}"
+    );
+    let _ = writeln!(
+        text,
+        "lentillift_{name}_seconds_count{{kind=\"{label}\"}} {count}"
+    );
 }
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -274,7 +274,8 @@
         } = told;
         self.tell(number, &ended, leg);
         if let Some(rest) = rest {
-            self.flights.push(go_on(self.host.clone(), number, leg, rest).boxed_local());
+            self.flights
+                .push(go_on(self.host.clone(), number, leg, rest).boxed_local());
         }
         if let Some(reply) = ended.reply {
             let content = Content::Reply(reply);
@@ -342,7 +343,11 @@
             next,
             parts,
             repeats: self.query.repeats(),
-            trouble: format!("missing: {}; {}", missing.join(" "), self.trouble.join(", ")),
+            trouble: format!(
+                "missing: {}; {}",
+                missing.join(" "),
+                self.trouble.join(", ")
+            ),
         }
     }
 
@@ -356,7 +361,8 @@
             self.query.close(&mut core, now, number, told.ended.outcome);
             if let Some(rest) = told.rest {
                 let host = self.host.clone();
-                self.flights.push(go_on(host, number, leg, rest).boxed_local());
+                self.flights
+                    .push(go_on(host, number, leg, rest).boxed_local());
             }
         }
     }
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -371,7 +371,9 @@
 /// A whole reply with this body.
 pub fn whole(body: &str) -> String {
     let length = body.len();
-    format!("HTTP/1.1 200 OK\r\nx-signature: sig-ID\r\nx-id: ID\r\nContent-Length: {length}\r\n\r\n{body}")
+    format!(
+        "HTTP/1.1 200 OK\r\nx-signature: sig-ID\r\nx-id: ID\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
 }
 
 /// Runs a test's tasks on one thread.
--- a/crates/lentillift-gateway/tests/front.rs
+++ b/crates/lentillift-gateway/tests/front.rs
@@ -172,7 +172,10 @@
         assert_eq!(header(&seen, "x-other").as_deref(), Some("2"));
         assert_eq!(header(&seen, "host").as_deref(), Some("search.example"));
         assert_eq!(header(&seen, "x-hop"), None);
-        let left: u64 = header(&seen, "x-left").expect("time").parse().expect("a number");
+        let left: u64 = header(&seen, "x-left")
+            .expect("time")
+            .parse()
+            .expect("a number");
         assert!(left <= 3000);
     });
 }
--- a/crates/lentillift-gateway/tests/hosts.rs
+++ b/crates/lentillift-gateway/tests/hosts.rs
@@ -89,7 +89,9 @@
         let answer = ask(front(&entry).await, &get("/all/x", "i")).await;
         assert_eq!(status(&answer), 200);
         assert_eq!(header(&answer, "x-missing").as_deref(), Some("0"));
-        let expected: String = ['e', 'd', 'c', 'b', 'a'].map(|c| c.to_string().repeat(16)).concat();
+        let expected: String = ['e', 'd', 'c', 'b', 'a']
+            .map(|c| c.to_string().repeat(16))
+            .concat();
         assert!(answer.ends_with(&expected), "{answer}");
         assert!(counted(&entry, "ways_total{kind=\"host\"} 1"));
         assert!(!counted(&entry, "kind=\"far\""));
--- a/crates/lentillift-scatter/src/catalog.rs
+++ b/crates/lentillift-scatter/src/catalog.rs
@@ -231,13 +231,7 @@
         }))
     }
 
-    fn remove(
-        &mut self,
-        now: Time,
-        key: &str,
-        revision: id::Revision,
-        changes: &mut Vec<Change>,
-    ) {
+    fn remove(&mut self, now: Time, key: &str, revision: id::Revision, changes: &mut Vec<Change>) {
         if self.removed.len() >= REMOVED {
             self.removed.pop_first();
         }
--- a/crates/lentillift-scatter/src/host.rs
+++ b/crates/lentillift-scatter/src/host.rs
@@ -63,9 +63,10 @@
 
     /// The host to ask in `domain`: the least busy one, and of these the one used least recently.
     pub fn choose(&self, domain: &str, now: Time) -> Option<id::Host> {
-        let fit = self.known.iter().filter(|(_, host)| {
-            *host.domain == *domain && host.avoid_until <= now
-        });
+        let fit = self
+            .known
+            .iter()
+            .filter(|(_, host)| *host.domain == *domain && host.avoid_until <= now);
         let best = fit.min_by_key(|(_, host)| (host.pending, host.used));
         best.map(|(name, _)| name.clone())
     }
@@ -77,7 +78,10 @@
     /// by few of them: they need fewer connections, and see its pauses sooner.
     pub fn owner(&self, domain: &str, me: &str, bucket: Bucket, now: Time) -> Option<id::Host> {
         let key = format!("{}/{}", bucket.number, bucket.of);
-        let fit = self.known.iter().filter(|(_, host)| *host.domain == *domain);
+        let fit = self
+            .known
+            .iter()
+            .filter(|(_, host)| *host.domain == *domain);
         let fit = fit.filter(|(_, host)| host.avoid_until <= now);
         let mut ranked: Vec<(&str, u32, Time)> = fit
             .map(|(name, host)| (&**name, host.pending, host.used))
@@ -89,7 +93,9 @@
         if ranked.iter().any(|(name, ..)| *name == me) {
             return None;
         }
-        let best = ranked.into_iter().min_by_key(|(_, pending, used)| (*pending, *used));
+        let best = ranked
+            .into_iter()
+            .min_by_key(|(_, pending, used)| (*pending, *used));
         best.map(|(name, ..)| name.into())
     }
 
--- a/crates/lentillift-scatter/src/limit.rs
+++ b/crates/lentillift-scatter/src/limit.rs
@@ -52,7 +52,11 @@
 impl Recent {
     /// Requests within the span that ends now.
     pub fn count(&mut self, now: Time) -> usize {
-        while self.sent.front().is_some_and(|sent| *sent + COLD_WINDOW <= now) {
+        while self
+            .sent
+            .front()
+            .is_some_and(|sent| *sent + COLD_WINDOW <= now)
+        {
             self.sent.pop_front();
         }
         self.sent.len()
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -310,7 +310,7 @@
             let may = |server: &Server| domain.as_ref().is_none_or(|d| server.entry.domain == *d);
             core.choose(view, &leg.service, typical, now, may)
         })
-            .collect()
+        .collect()
     }
 
     /// Makes the first sends: to hosts for many legs at once, directly for the others.
@@ -350,7 +350,9 @@
     fn servers<'a>(&self, core: &'a Core, leg: usize) -> impl Iterator<Item = &'a Arc<Server>> {
         let service = &self.legs[leg].service;
         let view = core.view.as_ref();
-        view.and_then(|view| view.servers.get(service)).into_iter().flatten()
+        view.and_then(|view| view.servers.get(service))
+            .into_iter()
+            .flatten()
     }
 
     /// Legs with a replica here that are too many for one host, by the hosts that share them.
@@ -381,8 +383,10 @@
         while !rest.is_empty() {
             let mut covers: BTreeMap<&id::Domain, Vec<usize>> = BTreeMap::new();
             for leg in &rest {
-                let domains: BTreeSet<&id::Domain> =
-                    self.servers(core, *leg).map(|server| &server.entry.domain).collect();
+                let domains: BTreeSet<&id::Domain> = self
+                    .servers(core, *leg)
+                    .map(|server| &server.entry.domain)
+                    .collect();
                 for domain in domains {
                     covers.entry(domain).or_default().push(*leg);
                 }
@@ -392,7 +396,10 @@
                 Some(Branch::new(host, domain, legs))
             });
             let best = hosts.max_by_key(|group| {
-                (group.legs.len(), std::cmp::Reverse(core.hosts.used(&group.host)))
+                (
+                    group.legs.len(),
+                    std::cmp::Reverse(core.hosts.used(&group.host)),
+                )
             });
             let Some(mut group) = best else {
                 break;
@@ -560,14 +567,7 @@
         self.retry(core, leg, now)
     }
 
-    fn note(
-        &self,
-        core: &mut Core,
-        now: Time,
-        sent: &Try,
-        server: &Server,
-        outcome: &Outcome,
-    ) {
+    fn note(&self, core: &mut Core, now: Time, sent: &Try, server: &Server, outcome: &Outcome) {
         let (sign, load) = match outcome {
             Outcome::Part { load } => {
                 let took = now.saturating_sub(sent.sent);
@@ -705,9 +705,7 @@
             let near = domain.as_ref().is_none_or(|d| server.entry.domain == *d);
             near && !state.has_asked(server)
         };
-        let fresh = |server: &Server| {
-            may(server) && !state.turned_away.contains(&server.entry.id)
-        };
+        let fresh = |server: &Server| may(server) && !state.turned_away.contains(&server.entry.id);
         let choice = core.choose(view, &state.service, typical, now, fresh);
         let choice = choice.or_else(|| {
             let idle = state.tries.is_empty() && turned == Turned::Ask;
--- a/crates/lentillift-scatter/tests/beliefs.rs
+++ b/crates/lentillift-scatter/tests/beliefs.rs
@@ -36,7 +36,11 @@
         Some((_, id)) => match value.as_slice() {
             [born, leaving] => Meaning::Server(Entry {
                 born: u64::from(*born),
-                stage: if *leaving == 0 { Stage::Ready } else { Stage::Leaving },
+                stage: if *leaving == 0 {
+                    Stage::Ready
+                } else {
+                    Stage::Leaving
+                },
                 ..entry(id, "s", "a")
             }),
             _ => Meaning::Malformed("no entry".to_owned()),
@@ -98,7 +102,10 @@
 
 #[test]
 fn what_was_read_is_believed() {
-    let catalog = told(vec![all(9, vec![put("c", 5, &[1]), put("b-x", 6, &[1, 0])])]);
+    let catalog = told(vec![all(
+        9,
+        vec![put("c", 5, &[1]), put("b-x", 6, &[1, 0])],
+    )]);
     assert_eq!(catalog.version(), Some(1));
     assert_eq!(catalog.revision(), 9);
     assert_eq!(servers(&catalog), [ready("x")]);
@@ -119,14 +126,21 @@
 /// The published configuration is damaged. The last good one stays in force.
 #[test]
 fn a_malformed_configuration_changes_nothing() {
-    let catalog = told(vec![all(9, vec![put("c", 9, &[4])]), changes(10, vec![put("c", 10, &[])])]);
+    let catalog = told(vec![
+        all(9, vec![put("c", 9, &[4])]),
+        changes(10, vec![put("c", 10, &[])]),
+    ]);
     assert_eq!(catalog.version(), Some(4));
 }
 
 /// Somebody else writes rubbish under a backend server's key. It names no server; the others hold.
 #[test]
 fn a_malformed_entry_names_nobody() {
-    let items = vec![put("c", 1, &[1]), put("b-x", 2, &[9]), put("b-y", 3, &[1, 0])];
+    let items = vec![
+        put("c", 1, &[1]),
+        put("b-x", 2, &[9]),
+        put("b-y", 3, &[1, 0]),
+    ];
     assert_eq!(servers(&told(vec![all(3, items)])), [ready("y")]);
 }
 
@@ -146,7 +160,14 @@
 #[test]
 fn lapsed_entries_are_a_last_resort_for_a_while() {
     let mut catalog = told(vec![
-        all(3, vec![put("c", 1, &[1]), put("b-x", 2, &[1, 0]), put("b-y", 3, &[1, 0])]),
+        all(
+            3,
+            vec![
+                put("c", 1, &[1]),
+                put("b-x", 2, &[1, 0]),
+                put("b-y", 3, &[1, 0]),
+            ],
+        ),
         all(9, vec![put("c", 1, &[1]), put("b-y", 3, &[1, 0])]),
     ]);
     assert_eq!(servers(&catalog), [last("x"), ready("y")]);
--- a/crates/lentillift-scatter/tests/budgets.rs
+++ b/crates/lentillift-scatter/tests/budgets.rs
@@ -41,7 +41,10 @@
 fn worst(requests: &[Time], repeats: &[Time]) -> Option<(Time, usize, f64)> {
     for end in repeats {
         let within = |times: &[Time], from: Time| {
-            times.iter().filter(|at| **at > from && **at <= *end).count()
+            times
+                .iter()
+                .filter(|at| **at > from && **at <= *end)
+                .count()
         };
         let from = end.saturating_sub(OPTIONS.window);
         let sent = within(repeats, from);
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -94,7 +94,12 @@
             Next::Wait(until) => until,
             next => {
                 let took = now - NOON;
-                return Story { next, took, sent, at };
+                return Story {
+                    next,
+                    took,
+                    sent,
+                    at,
+                };
             }
         };
         let sends = match due.first_key_value() {
@@ -125,7 +130,9 @@
 
 /// `count` backend servers of one service.
 fn pool(count: usize, kind: Kind) -> (Core, Route) {
-    let servers = (0..count).map(|n| server(&format!("a{n}"), "s", "a")).collect();
+    let servers = (0..count)
+        .map(|n| server(&format!("a{n}"), "s", "a"))
+        .collect();
     let route = route(single("s"), kind);
     (core(view(route.clone(), servers)), route)
 }
@@ -168,7 +175,10 @@
         "a7" | "b7" => Way::Hangs,
         _ => Way::Replies(MS * 10),
     });
-    assert!(matches!(story.next, Next::Answer { missing: 1, .. }), "{story:?}");
+    assert!(
+        matches!(story.next, Next::Answer { missing: 1, .. }),
+        "{story:?}"
+    );
     assert!(story.took < MS * 100, "{story:?}");
 }
 
@@ -180,7 +190,10 @@
         "a7" | "b7" => Way::Hangs,
         _ => Way::Replies(MS * 10),
     });
-    assert!(matches!(story.next, Next::Timeout | Next::Fail), "{story:?}");
+    assert!(
+        matches!(story.next, Next::Timeout | Next::Fail),
+        "{story:?}"
+    );
 }
 
 /// Too many shards have no backend server at all. Asking the others would be work for nothing, and
@@ -329,7 +342,10 @@
     let number = first[0].number;
     let direct = query.ended(&mut core, NOON + MS, number, Outcome::Unreachable);
     assert_eq!(direct.len(), 5);
-    assert!(direct.iter().all(|send| !send.repeat), "nothing had arrived");
+    assert!(
+        direct.iter().all(|send| !send.repeat),
+        "nothing had arrived"
+    );
     let (_, next) = Query::start(&mut core, plan, NOON + MS);
     assert_eq!(next.len(), 5, "directly: {next:?}");
 }
--- a/crates/lentillift-scatter/tests/replicas.rs
+++ b/crates/lentillift-scatter/tests/replicas.rs
@@ -21,13 +21,18 @@
 /// One shard with a near replica and a far one.
 fn pair() -> Core {
     let route = route(scatter(1, 1.0), Kind::Idempotent);
-    core(view(route, vec![server("near", "s0", "a"), server("far", "s0", "b")]))
+    core(view(
+        route,
+        vec![server("near", "s0", "a"), server("far", "s0", "b")],
+    ))
 }
 
 fn choice(core: &mut Core, now: Time) -> String {
     let view = core.view.clone().expect("a view");
     let choice = core.choose(&view, &"s0".into(), TYPICAL, now, |_| true);
-    choice.map_or("none".to_owned(), |choice| choice.server.entry.id.to_string())
+    choice.map_or("none".to_owned(), |choice| {
+        choice.server.entry.id.to_string()
+    })
 }
 
 /// Sends once to `id` and notes how it ended.
@@ -116,7 +121,13 @@
     };
     let number = core.number();
     core.book.get(&"near".into()).sent(number, NOON);
-    core.ended(number, &"near".into(), slow(1.0), NOON + TYPICAL, Some(load));
+    core.ended(
+        number,
+        &"near".into(),
+        slow(1.0),
+        NOON + TYPICAL,
+        Some(load),
+    );
     assert_eq!(choice(&mut core, NOON + TYPICAL), "far");
     assert_eq!(choice(&mut core, NOON + MS * 200), "near");
 }
