Send answers earlier by what their caller has spent and by how late timers fire

Cause: answers that left at the objective less a fixed margin arrived just after it where the caller had spent time on its connection (its time limit says so), or where this host's timers fire late.

--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -167,8 +167,8 @@
         split => split.service(&message.id).cloned().into_iter().collect(),
     };
     let plan = {
-        let core = host.core.borrow();
-        Plan::new(&core, &route, &view, services, arrived, left)
+        let mut core = host.core.borrow_mut();
+        Plan::new(&mut core, &route, &view, services, arrived, left)
     };
     let id = message.id.clone();
     let done = run::run(host, plan, Rc::new(message), authority).await;
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -252,14 +252,16 @@
                     self.land(arrival);
                 }
             }
-            () = tokio::time::sleep(wait) => self.tick(),
+            () = tokio::time::sleep(wait) => self.tick(now + wait),
         }
     }
 
-    fn tick(&mut self) {
+    fn tick(&mut self, due: Time) {
         let sends = {
             let mut core = self.host.core.borrow_mut();
-            self.query.tick(&mut core, self.host.now())
+            let now = self.host.now();
+            core.lag.note(now.saturating_sub(due));
+            self.query.tick(&mut core, now)
         };
         self.launch(sends);
     }
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -111,6 +111,31 @@
     estimate.mul_f64(factor).max(Duration::from_micros(200))
 }
 
+/// Weight of one timer in the estimate of how late they fire.
+const LAG_WEIGHT: f64 = 0.05;
+
+/// How late this host's timers fire, because its processor is busy or taken away.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Lag {
+    mean: Duration,
+}
+
+impl Lag {
+    /// Notes a timer that fired `late`.
+    pub fn note(&mut self, late: Duration) {
+        let late = late.min(MOST_LAG);
+        self.mean = self.mean.mul_f64(1.0 - LAG_WEIGHT) + late.mul_f64(LAG_WEIGHT);
+    }
+
+    /// What a timer is to be set earlier by.
+    pub fn mean(&self) -> Duration {
+        self.mean
+    }
+}
+
+/// Most that one timer counts; a process that stood still for seconds is no slower afterwards.
+const MOST_LAG: Duration = Duration::from_millis(50);
+
 /// What all requests of a host share.
 #[derive(Debug)]
 pub struct Core {
@@ -130,7 +155,11 @@
     pub book: Book,
     /// Other hosts.
     pub hosts: Hosts,
+    /// How late this host's timers fire.
+    pub lag: Lag,
     budgets: HashMap<id::Service, Budget>,
+    /// Longest time that callers of each route said they would wait.
+    patience: HashMap<Arc<str>, Duration>,
     paces: HashMap<Arc<str>, Pace>,
     next: Number,
 }
@@ -156,7 +185,9 @@
             view: None,
             book: Book::default(),
             hosts: Hosts::default(),
+            lag: Lag::default(),
             budgets: HashMap::new(),
+            patience: HashMap::new(),
             paces: HashMap::new(),
             next: 0,
         }
@@ -188,6 +219,24 @@
         }
     }
 
+    /// Time that a caller with `left` to wait has already spent, on a first connection or the like.
+    ///
+    /// Callers of a route say the same when they have spent nothing, so what is less than the most is
+    /// time spent. More than an objective is a caller of another kind, or one that comes again, and
+    /// nothing is gained by hurrying.
+    pub fn spent(&mut self, route: &Route, left: Duration) -> Duration {
+        let most = match self.patience.get_mut(&route.name) {
+            Some(most) => most,
+            None => self.patience.entry(route.name.clone()).or_insert(left),
+        };
+        *most = left.max(*most);
+        let spent = most.saturating_sub(left);
+        match spent < route.objective / 2 {
+            true => spent,
+            false => Duration::ZERO,
+        }
+    }
+
     /// Notes the first send of a request for a service.
     pub fn earn(&mut self, service: &id::Service, now: Time) {
         let options = self.options.budget;
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -86,7 +86,7 @@
 impl Plan {
     /// A plan for a caller's request that arrived at `now` and has `left` to be answered.
     pub fn new(
-        core: &Core,
+        core: &mut Core,
         route: &Arc<Route>,
         view: &Arc<View>,
         services: Vec<id::Service>,
@@ -94,7 +94,9 @@
         left: Duration,
     ) -> Self {
         let objective = route.objective;
-        let margin = core.options.margin.min(objective / 4);
+        let margin = core.options.margin + core.lag.mean();
+        let margin = margin.min(objective / 3);
+        let spent = core.spent(route, left);
         let coverage = match &route.target {
             crate::config::Target::Scatter(scatter) => scatter.coverage,
             crate::config::Target::Split(_) => 1.0,
@@ -106,7 +108,7 @@
             view: view.clone(),
             services,
             arrived: now,
-            soft: (now + objective.saturating_sub(margin)).min(deadline),
+            soft: (now + objective.saturating_sub(margin + spent)).min(deadline),
             deadline,
             coverage: Some(coverage),
             attempts: route.attempts,
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -293,7 +293,7 @@
     core.hosts.update([("h".into(), "b".into())]);
     let view = core.view.clone().expect("a view");
     let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
-    let plan = Plan::new(&core, &Arc::new(route), &view, services, NOON, PATIENCE);
+    let plan = Plan::new(&mut core, &Arc::new(route), &view, services, NOON, PATIENCE);
     let (mut query, first) = Query::start(&mut core, plan, NOON);
     let [send] = first.as_slice() else {
         panic!("one send: {first:?}");
@@ -337,7 +337,7 @@
     core.hosts.update([("h".into(), "b".into())]);
     let view = core.view.clone().expect("a view");
     let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
-    let plan = Plan::new(&core, &Arc::new(route), &view, services, NOON, PATIENCE);
+    let plan = Plan::new(&mut core, &Arc::new(route), &view, services, NOON, PATIENCE);
     let (mut query, first) = Query::start(&mut core, plan.clone(), NOON);
     let number = first[0].number;
     let direct = query.ended(&mut core, NOON + MS, number, Outcome::Unreachable);
