Give each part of a shared search one owner in a failure domain

Cause: three hosts for each part each learnt of slow servers alone. Change: the highest ranked host owns a part, the next one while that one is in doubt.

--- a/crates/lentillift-scatter/src/host.rs
+++ b/crates/lentillift-scatter/src/host.rs
@@ -13,9 +13,6 @@
 /// How long a host that was late is left alone: as long as a freeze or a restart lasts.
 const DOUBT: Duration = Duration::from_secs(2);
 
-/// Fewest hosts of a failure domain that are asked for the same shards, so that one may be busy.
-const LEAST_OWNERS: usize = 2;
-
 /// One of the parts into which the shards of a search are divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Bucket {
@@ -75,7 +72,7 @@
     /// it itself.
     ///
     /// All hosts of a failure domain rank the hosts of a bucket alike, so each backend server is asked
-    /// by few of them: they need fewer connections, and see its pauses sooner.
+    /// by one of them: that needs fewer connections, and shows its pauses sooner.
     pub fn owner(&self, domain: &str, me: &str, bucket: Bucket, now: Time) -> Option<id::Host> {
         let key = format!("{}/{}", bucket.number, bucket.of);
         let fit = self
@@ -83,20 +80,9 @@
             .iter()
             .filter(|(_, host)| *host.domain == *domain);
         let fit = fit.filter(|(_, host)| host.avoid_until <= now);
-        let mut ranked: Vec<(&str, u32, Time)> = fit
-            .map(|(name, host)| (&**name, host.pending, host.used))
-            .collect();
-        ranked.push((me, 0, now));
-        ranked.sort_by_cached_key(|(name, ..)| std::cmp::Reverse(rendezvous::weight(&key, name)));
-        let owners = (ranked.len() / bucket.of.max(1)).max(LEAST_OWNERS);
-        ranked.truncate(owners);
-        if ranked.iter().any(|(name, ..)| *name == me) {
-            return None;
-        }
-        let best = ranked
-            .into_iter()
-            .min_by_key(|(_, pending, used)| (*pending, *used));
-        best.map(|(name, ..)| name.into())
+        let hosts = fit.map(|(name, _)| &**name).chain(std::iter::once(me));
+        let owner = hosts.max_by_key(|name| rendezvous::weight(&key, name))?;
+        (owner != me).then(|| owner.into())
     }
 
     /// When a host was last asked.
