Read what is published sooner after a start

Cause: after all hosts were killed at once, each waited 400 ms for others before it read, and up to 250 ms more before it told others that it serves.

--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -259,8 +259,13 @@
     S: Source,
 {
     let mut serving = false;
+    let mut changed = host.changed.subscribe();
     loop {
-        tokio::time::sleep(HOUSEKEEPING).await;
+        tokio::select! {
+            () = tokio::time::sleep(HOUSEKEEPING) => {}
+            // The first configuration is what callers of a fleet that starts anew are waiting for.
+            _ = changed.changed(), if !serving => {}
+        }
         let now = host.now();
         let expired = host.catalog.borrow_mut().expire(now);
         if expired {
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -66,11 +66,13 @@
 /// Least time between two failed calls of one host to the service; refused calls are counted too.
 const SERVICE_PAUSE: Duration = Duration::from_millis(1500);
 
-/// How long a process that starts waits for other hosts to turn up before it reads by itself.
-const JOIN: Duration = Duration::from_millis(400);
+/// How long a process that starts waits for other hosts to turn up before it reads by itself: many
+/// round trips. Callers wait for it too when a whole fleet starts anew.
+const JOIN: Duration = Duration::from_millis(120);
 
-/// How long a process that knows nothing follows a host that knows nothing either.
-const PATIENCE: Duration = Duration::from_millis(1200);
+/// How long a process that knows nothing follows a host that knows nothing either: as long as that
+/// one takes to join and to read everything.
+const PATIENCE: Duration = Duration::from_millis(500);
 
 /// One message to a follower, as it stands on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
