Take one connection to each backend server for five seconds after a start

Cause: after all hosts lost power, their former connections still filled the backend servers' caps, and each new process, knowing only itself, opened up to 19 more; nearly all were reset, servers counted as down, and searches failed or were refused for six seconds. Ruled out: the store and membership, which were there within half a second. Change: one connection while a process settles, never more than a slot beyond; servers that are all left alone are tried one request at a time.

--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -281,7 +281,7 @@
         let latest = self.view.clone()?;
         let servers = latest.servers.get(service)?;
         let bounds = view.config.services.get(service);
-        let around = Around {
+        let mut around = Around {
             now,
             domain: &self.domain,
             share: &self.share,
@@ -290,17 +290,23 @@
             cold_rate: bounds.and_then(|bounds| bounds.cold_rate),
             cold: self.options.cold,
             ticket: self.ticket,
+            desperate: false,
         };
         let may = |server: &&Arc<Server>| {
             !latest.evacuated.contains(&server.entry.domain) && allows(server)
         };
-        let ready = servers.iter().filter(may);
-        let ready = ready.filter(|server| server.last_resort_until.is_none());
-        let best = self.book.choose(&around, ready).or_else(|| {
-            let last = servers.iter().filter(may);
-            let last = last.filter(|s| s.last_resort_until.is_some_and(|until| now < until));
-            self.book.choose(&around, last)
-        });
+        let ready = |server: &&Arc<Server>| server.last_resort_until.is_none();
+        let last = |server: &&Arc<Server>| server.last_resort_until.is_some_and(|at| now < at);
+        let book = &mut self.book;
+        let mut best = book.choose(&around, servers.iter().filter(may).filter(ready));
+        if best.is_none() {
+            best = book.choose(&around, servers.iter().filter(may).filter(last));
+        }
+        if best.is_none() {
+            // All are left alone for a while. One request at a time finds out whether one is back.
+            around.desperate = true;
+            best = book.choose(&around, servers.iter().filter(may).filter(ready));
+        }
         best.map(|(server, expected)| Choice {
             server: server.clone(),
             expected,
--- a/crates/lentillift-scatter/src/limit.rs
+++ b/crates/lentillift-scatter/src/limit.rs
@@ -11,14 +11,27 @@
 /// connections that a backend server takes while its queue is long.
 const USED_PERCENT: u32 = 75;
 
+/// Time for which a process that has started uses one connection to each backend server.
+///
+/// When all hosts lose power at once, a backend server still holds the connections of their former
+/// processes until its own timeouts, and a process that starts does not know how many others there
+/// are. Beyond its connections a server resets new ones; searches failed for six seconds for it.
+const SETTLING: Duration = Duration::from_secs(5);
+
 /// Span over which the rate of a cold backend server holds.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
-/// Connections that this host may hold to a backend server that takes `total` from all hosts.
+/// Requests that this host may have under way at a backend server, each on its own connection, if the
+/// server takes `total` connections from all hosts and runs `slots` requests at a time.
 ///
-/// At least one, without which it could never be asked.
-pub fn connections(share: &Share, total: u32) -> usize {
-    share.of(total * USED_PERCENT / 100).max(1) as usize
+/// At least one, without which it could never be asked, and no more than one beyond its slots, which
+/// only wait there.
+pub fn under_way(share: &Share, total: u32, slots: u32, now: Time) -> usize {
+    if !share.is_settled(now, SETTLING) {
+        return 1;
+    }
+    let part = share.of(total * USED_PERCENT / 100).max(1) + 1;
+    part.min(slots + 1) as usize
 }
 
 /// Bound on the requests to cold backend servers.
--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -243,6 +243,8 @@
     pub cold: limit::Cold,
     /// A number that differs between hosts, to deal out what is less than one for each.
     pub ticket: u64,
+    /// Whether servers that are left alone may be tried, one request at a time.
+    pub desperate: bool,
 }
 
 /// All backend servers that this host has used.
@@ -298,10 +300,12 @@
     fn expected(&mut self, around: &Around<'_>, server: &Server) -> Option<Duration> {
         let now = around.now;
         let replica = self.get(&server.entry.id);
-        if replica.is_down(now) {
+        if replica.is_down(now) && !(around.desperate && replica.pending() == 0) {
             return None;
         }
-        if replica.pending() >= limit::connections(around.share, around.connections) + 1 {
+        let slots = server.entry.slots;
+        let most = limit::under_way(around.share, around.connections, slots, now);
+        if replica.pending() >= most {
             return None;
         }
         if server.cold_until > now
--- /dev/null
+++ b/crates/lentillift-scatter/tests/limits.rs
@@ -0,0 +1,63 @@
+//! How much one host sends to one backend server: connections, and the rate of cold ones.
+
+mod common;
+
+use lentillift_core::time::Time;
+use lentillift_scatter::limit;
+use lentillift_scatter::limit::Cold;
+use lentillift_scatter::limit::Recent;
+use lentillift_scatter::share::Share;
+use std::time::Duration;
+
+fn share(hosts: u32) -> Share {
+    Share {
+        hosts,
+        near_hosts: 1,
+        started: Time::ZERO,
+    }
+}
+
+const LATER: Time = Duration::from_secs(60);
+
+macro_rules! under_way {
+    ($($(#[$doc:meta])* $name:ident: $hosts:expr, $connections:expr, $slots:expr, $at:expr => $most:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            assert_eq!(limit::under_way(&share($hosts), $connections, $slots, $at), $most);
+        }
+    )*};
+}
+
+under_way! {
+    part_of_the_connections: 9, 26, 5, LATER => 3;
+    no_more_than_a_slot_beyond: 2, 26, 2, LATER => 3;
+    fewer_connections_than_hosts: 61, 52, 2, LATER => 1;
+    /// All hosts start anew at once and each knows only itself. Were each to take most of a backend
+    /// server's connections, nearly all would be reset, and searches would fail for seconds.
+    a_process_that_starts_takes_one: 1, 26, 2, Duration::from_secs(1) => 1;
+}
+
+/// A failure domain returns and its servers are cold. Together the hosts send no more than they bear,
+/// also where that is less than one request a second for each host.
+#[test]
+fn cold_servers_get_what_they_bear() {
+    let cold = Cold {
+        factor: 1.5,
+        extra: 5.0,
+    };
+    for hosts in [1, 9, 61] {
+        let shares = (0..u64::from(hosts)).map(|n| cold.allowed(&share(hosts), 4.0, n));
+        assert_eq!(shares.sum::<usize>(), 11, "{hosts} hosts");
+    }
+}
+
+#[test]
+fn a_second_is_a_span() {
+    let mut recent = Recent::default();
+    recent.note(LATER);
+    recent.note(LATER + Duration::from_millis(600));
+    assert_eq!(recent.count(LATER + Duration::from_millis(999)), 2);
+    assert_eq!(recent.count(LATER + Duration::from_millis(1000)), 1);
+    assert_eq!(recent.count(LATER + Duration::from_millis(1600)), 0);
+}
--- a/crates/lentillift-scatter/tests/replicas.rs
+++ b/crates/lentillift-scatter/tests/replicas.rs
@@ -156,3 +156,20 @@
     }
     assert_eq!(choice(&mut core, NOON), "none");
 }
+
+/// Both replicas failed several times and are left alone. One request at a time still finds out
+/// whether one is back; refused for seconds, callers would wait for nothing.
+#[test]
+fn servers_that_are_all_left_alone_are_tried_one_by_one() {
+    let mut core = pair();
+    for id in ["near", "far"] {
+        for _ in 0..5 {
+            exchange(&mut core, id, NOON, NOON, Sign::Failed);
+        }
+    }
+    assert_eq!(choice(&mut core, NOON + MS), "near");
+    core.book.get(&"near".into()).sent(100, NOON + MS);
+    assert_eq!(choice(&mut core, NOON + MS * 2), "far");
+    core.book.get(&"far".into()).sent(101, NOON + MS * 2);
+    assert_eq!(choice(&mut core, NOON + MS * 3), "none");
+}
