--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -398,8 +398,11 @@
     let deadline = NOON + PATIENCE;
     let plan = Plan::branch(&Arc::new(route), &view, services, NOON, deadline);
     for _ in 0..20 {
-        let (_, sends) = Query::start(&mut core, plan.clone(), NOON);
+        let (mut query, sends) = Query::start(&mut core, plan.clone(), NOON);
         assert!(!sends.is_empty());
+        for send in sends {
+            query.ended(&mut core, NOON, send.number, Outcome::Part { load: None });
+        }
     }
     assert!(!core.spend(&"s0".into(), NOON));
 }
