Log each decision that touches a request, and bound the log

Requests that are late, partial, refused, failed or repeated have a line with what decided them, and one in 64 of the others, chosen by id; so has each repeat, each send without a part, and what another host was told. At most 250 lines a second are written after a burst of 500; what is left out is counted and told, and a reader that does not read holds nothing up.

--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -38,6 +38,7 @@
 use lentillift_scatter::record;
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::info;
 
 /// Path of these requests.
 pub const PATH: &str = "/v1/branch";
@@ -355,6 +356,17 @@
                 Some(State::Failed | State::Open) | None => answer.failed.push(place),
             }
         }
+        if !answer.declined.is_empty() || !answer.failed.is_empty() {
+            info!(
+                event = "branch",
+                id = %self.run.id(),
+                parts = answer.parts.len(),
+                declined = answer.declined.len(),
+                failed = answer.failed.len(),
+                over,
+                "told another host"
+            );
+        }
         let records = parts.iter().map(Part::records);
         answer.records = record::merge(records, self.limit).to_vec();
         frame::frame(&answer, "host").ok()
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -1,5 +1,6 @@
 //! Callers' connections.
 
+use crate::dialect::Ask;
 use crate::dialect::Dialect;
 use crate::host::Host;
 use crate::host::Stage;
@@ -38,6 +39,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tracing::info;
+use twox_hash::XxHash64;
 
 /// Pause after a failed `accept`, for example when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -176,24 +178,38 @@
     let (outcome, response) = conclude(host, &route, &done);
     host.board.count("requests", outcome);
     host.board.time("request", outcome, took);
-    if took > route.objective || outcome != "whole" || done.repeats > 0 {
+    let late = took > route.objective;
+    if late || outcome != "whole" || done.repeats > 0 || is_sampled(&id) {
+        let missing: Vec<&str> = done.missing.iter().map(|service| &**service).collect();
         info!(
             event = "request",
             %id,
             route = %route.name,
             outcome,
+            status = response.status().as_u16(),
+            late,
             took_ms = took.as_millis() as u64,
             left_ms = left.as_millis() as u64,
+            objective_ms = route.objective.as_millis() as u64,
             config = view.config.version,
             age_ms = host.age().map_or(0, |age| age.as_millis() as u64),
             repeats = done.repeats,
-            trouble = done.trouble,
+            unpaid = done.unpaid,
+            missing = missing.join(" "),
             "answered"
         );
     }
     response
 }
 
+/// One in this many ordinary requests is logged, chosen by its id, so that all hosts that had a part
+/// in it keep it.
+const SAMPLE: u64 = 64;
+
+fn is_sampled(id: &str) -> bool {
+    XxHash64::oneshot(0, id.as_bytes()).is_multiple_of(SAMPLE)
+}
+
 /// Reads a request whole and finds its route, or says what to answer without.
 async fn read<D, S>(
     host: &Rc<Host<D, S>>,
@@ -204,17 +220,19 @@
     S: Source,
 {
     let view = host.core.borrow().view.clone();
+    let (mut head, body) = request.into_parts();
+    let ask = host.dialect.ask(&head);
     let Some(view) = view else {
+        turned_away(host, &ask, "no configuration yet");
         return Err(refusal(RETRY_UNREADY));
     };
-    let (mut head, body) = request.into_parts();
-    let ask = host.dialect.ask(&head);
     let named = head.headers.get(header::HOST);
     let authority = named
         .and_then(|host| host.to_str().ok())
         .unwrap_or_default();
     let authority: Rc<str> = authority.into();
     let Some(route) = view.config.route(&authority, head.uri.path()).cloned() else {
+        turned_away(host, &ask, "no such route");
         return Err(status(StatusCode::NOT_FOUND));
     };
     let limits = view.config.limits;
@@ -222,11 +240,17 @@
     let left = ask.patience.unwrap_or(route.timeout);
     let body = match tokio::time::timeout(left, body).await {
         Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            return Err(status(StatusCode::PAYLOAD_TOO_LARGE));
+        failed => {
+            let (code, why) = match failed {
+                Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+                    (StatusCode::PAYLOAD_TOO_LARGE, "body too large")
+                }
+                Ok(_) => (StatusCode::BAD_REQUEST, "body cut off"),
+                Err(_) => (StatusCode::REQUEST_TIMEOUT, "body too slow"),
+            };
+            turned_away(host, &ask, why);
+            return Err(status(code));
         }
-        Ok(Err(_)) => return Err(status(StatusCode::BAD_REQUEST)),
-        Err(_) => return Err(status(StatusCode::REQUEST_TIMEOUT)),
     };
     message::strip(&mut head.headers);
     let path = head.uri.path_and_query();
@@ -246,6 +270,23 @@
     })
 }
 
+/// Puts a request into the log that was answered without being sent anywhere.
+fn turned_away<D, S>(host: &Host<D, S>, ask: &Ask, why: &'static str)
+where
+    D: Dialect,
+    S: Source,
+{
+    host.board.count("requests", "turned away");
+    info!(
+        event = "request",
+        id = ask.id.as_deref().unwrap_or_default(),
+        outcome = "turned away",
+        why,
+        age_ms = host.age().map_or(0, |age| age.as_millis() as u64),
+        "answered"
+    );
+}
+
 /// The answer, and a word for it in logs and counters.
 fn conclude<D, S>(host: &Host<D, S>, route: &Route, done: &Done) -> (&'static str, Response<Bytes>)
 where
--- a/crates/lentillift-gateway/src/log.rs
+++ b/crates/lentillift-gateway/src/log.rs
@@ -13,12 +13,20 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
 use std::time::Duration;
+use std::time::Instant;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
 /// Lines that wait at most; a second of the most talkative load.
 const QUEUE: usize = 2048;
 
+/// Lines that are written in one second at most; formatting and writing one takes some 20 us of the
+/// processor, so this is 2% of a quarter of a core.
+const RATE: f64 = 250.0;
+
+/// Lines that may be written at once after a calm time.
+const BURST: f64 = 500.0;
+
 /// Time for which lines gather before they are written together: one wake-up in place of many.
 const GATHER: Duration = Duration::from_millis(50);
 
@@ -36,11 +44,10 @@
         W: Write + Send + 'static,
     {
         let (lines, queue) = sync_channel(QUEUE);
-        std::thread::spawn(move || drain(&queue, output));
-        Self {
-            lines,
-            dropped: Arc::default(),
-        }
+        let dropped: Arc<AtomicU64> = Arc::default();
+        let counter = dropped.clone();
+        std::thread::spawn(move || drain(&queue, &counter, output));
+        Self { lines, dropped }
     }
 
     /// Makes this the process's log, for events of `level` and above.
@@ -60,14 +67,30 @@
     }
 }
 
-fn drain<W>(queue: &Receiver<Vec<u8>>, mut output: W)
+fn drain<W>(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut output: W)
 where
     W: Write,
 {
-    while let Ok(mut bytes) = queue.recv() {
+    let mut tokens = BURST;
+    let mut last = Instant::now();
+    while let Ok(first) = queue.recv() {
         std::thread::sleep(GATHER);
-        while let Ok(more) = queue.try_recv() {
-            bytes.extend_from_slice(&more);
+        tokens = (tokens + last.elapsed().as_secs_f64() * RATE).min(BURST);
+        last = Instant::now();
+        let mut bytes = Vec::new();
+        let mut left_out = 0;
+        for line in std::iter::once(first).chain(queue.try_iter()) {
+            if tokens < 1.0 {
+                left_out += 1;
+                continue;
+            }
+            tokens -= 1.0;
+            bytes.extend_from_slice(&line);
+        }
+        if left_out > 0 {
+            dropped.fetch_add(left_out, Ordering::Relaxed);
+            let line = format!("{{\"event\":\"log\",\"left_out\":{left_out}}}\n");
+            bytes.extend_from_slice(line.as_bytes());
         }
         // Nobody is left to tell that the log can't be written.
         let _ = output.write_all(&bytes).and_then(|()| output.flush());
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -15,6 +15,7 @@
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
+use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_scatter::leg::Target;
 use lentillift_scatter::query::Next;
@@ -83,8 +84,10 @@
     pub parts: Vec<Part>,
     /// Sends that were made as repeats.
     pub repeats: u32,
-    /// What is missing and why, for the log.
-    pub trouble: String,
+    /// Repeats that the budget did not allow.
+    pub unpaid: u32,
+    /// Services whose part is missing.
+    pub missing: Vec<id::Service>,
 }
 
 /// A send that has ended.
@@ -108,7 +111,6 @@
     message: Rc<Message>,
     authority: Rc<str>,
     parts: HashMap<Number, Part>,
-    trouble: Vec<&'static str>,
 }
 
 impl<D, S> Drop for Run<D, S>
@@ -172,7 +174,6 @@
             message,
             authority,
             parts: HashMap::new(),
-            trouble: Vec::new(),
         };
         run.launch(sends);
         run
@@ -183,6 +184,11 @@
         &self.query
     }
 
+    /// The caller's id of the request.
+    pub fn id(&self) -> &str {
+        &self.message.id
+    }
+
     /// The time.
     pub fn now(&self) -> Time {
         self.host.now()
@@ -196,6 +202,9 @@
     fn launch(&mut self, sends: Vec<Send>) {
         for send in sends {
             self.host.board.count("ways", self.way(&send));
+            if send.repeat {
+                self.tell_repeat(&send);
+            }
             let flight = fly(
                 self.host.clone(),
                 self.query.plan().route.clone(),
@@ -218,6 +227,33 @@
         }
     }
 
+    /// Puts a repeated send into the log: why, and what was known of the server that gets it.
+    fn tell_repeat(&self, send: &Send) {
+        let leg = send.legs.first().copied().unwrap_or_default();
+        let after = self.now().saturating_sub(self.query.plan().arrived);
+        let (backend, domain) = match &send.target {
+            Target::Server(server) => (&*server.entry.id, &*server.entry.domain),
+            Target::Host { host, domain } => (&**host, &**domain),
+        };
+        info!(
+            event = "repeat",
+            id = %self.message.id,
+            number = send.number,
+            service = %self.query.service(leg).map_or("", |s| s),
+            backend,
+            domain,
+            after_ms = after.as_millis() as u64,
+            late_after_ms = self.late_after().as_millis() as u64,
+            "asked another replica"
+        );
+    }
+
+    /// Time after which a reply counts as late, by what this host has seen on the route.
+    fn late_after(&self) -> Duration {
+        let mut core = self.host.core.borrow_mut();
+        core.pace(&self.query.plan().route).late
+    }
+
     /// The services that a send to another host is for.
     fn names(&self, send: &Send) -> Vec<String> {
         if matches!(send.target, Target::Server(_)) {
@@ -320,7 +356,6 @@
         if matches!(ended.outcome, Outcome::Part { .. } | Outcome::Branch(_)) {
             return;
         }
-        self.trouble.push(ended.why);
         info!(
             event = "send",
             id = %self.message.id,
@@ -340,16 +375,17 @@
         };
         let parts = wanted.iter().filter_map(|number| self.parts.remove(number));
         let parts = parts.collect();
-        let missing: Vec<&str> = self.query.missing().map(|leg| &*leg.service).collect();
+        let missing = self
+            .query
+            .missing()
+            .map(|leg| leg.service.clone())
+            .collect();
         Done {
             next,
             parts,
             repeats: self.query.repeats(),
-            trouble: format!(
-                "missing: {}; {}",
-                missing.join(" "),
-                self.trouble.join(", ")
-            ),
+            unpaid: self.query.unpaid(),
+            missing,
         }
     }
 
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -260,6 +260,8 @@
     branches: BTreeMap<Number, Branch>,
     /// Sends that were made as repeats.
     repeats: u32,
+    /// Repeats that the budget did not allow.
+    unpaid: u32,
     rejections: usize,
 }
 
@@ -272,6 +274,7 @@
             legs,
             branches: BTreeMap::new(),
             repeats: 0,
+            unpaid: 0,
             rejections: 0,
         };
         let choices = query.choices(core, now);
@@ -293,6 +296,11 @@
         self.repeats
     }
 
+    /// Repeats that the budget did not allow.
+    pub fn unpaid(&self) -> u32 {
+        self.unpaid
+    }
+
     /// The service of a leg.
     pub fn service(&self, leg: usize) -> Option<&id::Service> {
         self.legs.get(leg).map(|leg| &leg.service)
@@ -692,6 +700,7 @@
         let repeat = self.legs[leg].arrivals > 0;
         let service = self.legs[leg].service.clone();
         if repeat && !core.spend(&service, now) {
+            self.unpaid += 1;
             return self.look_later(core, leg, now);
         }
         vec![self.direct(core, leg, choice.server, now, repeat)]
