--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::host::Stage;
 use crate::local::Executor;
 use crate::member;
+use crate::metric;
 use crate::metric::Board;
 use crate::peer::Peers;
 use crate::pool::Pool;
@@ -291,12 +292,14 @@
             }
         }
         let board = &host.board;
-        board.gauge("connections_opened", host.pool.opened() as f64);
-        board.gauge("connections_idle", host.pool.idle() as f64);
-        board.gauge(
-            "age_seconds",
-            host.age().map_or(-1.0, |age| age.as_secs_f64()),
-        );
+        board.gauge(metric::OPENED, host.pool.opened() as f64);
+        board.gauge(metric::IDLE, host.pool.idle() as f64);
+        let age = host.age().map_or(-1.0, |age| age.as_secs_f64());
+        board.gauge(metric::AGE, age);
+        let lag = host.core.borrow().lag.mean();
+        board.gauge(metric::LAG, lag.as_secs_f64());
+        let version = host.catalog.borrow().version();
+        board.gauge(metric::CONFIG, version.unwrap_or(0) as f64);
     }
 }
 
@@ -365,7 +368,7 @@
 {
     let mut response = Response::new(Full::default());
     match path {
-        "/metrics" => *response.body_mut() = Full::new(host.board.render().into()),
+        "/metrics" => *response.body_mut() = Full::new(host.board.render(host.now()).into()),
         _ if host.is_ready() => {}
         _ => *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -5,6 +5,7 @@
 use crate::frame::Reader;
 use crate::host::Host;
 use crate::host::Stage;
+use crate::metric;
 use crate::source::Source;
 use crate::source::Watched;
 use bincode::Decode;
@@ -259,7 +260,7 @@
 where
     S: Source,
 {
-    host.board.count("service_calls", "watch");
+    host.board.count(metric::SERVICE_CALLS, "watch");
     let watch = host.source.watch(after, WATCH);
     let watched = tokio::time::timeout(WATCH + WATCH_SLACK, watch).await;
     watched.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "watch timed out")))
@@ -269,7 +270,7 @@
 where
     S: Source,
 {
-    host.board.count("service_calls", "read");
+    host.board.count(metric::SERVICE_CALLS, "read");
     let read = tokio::time::timeout(READ_TIMEOUT, host.source.read()).await;
     read.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "read timed out")))
 }
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -6,6 +6,7 @@
 use crate::host::Stage;
 use crate::message;
 use crate::message::Message;
+use crate::metric;
 use crate::pool::tune;
 use crate::run;
 use crate::run::Content;
@@ -72,7 +73,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                host.board.count("connections", "caller");
+                host.board.count(metric::CALLERS, "taken");
                 let host = host.clone();
                 tokio::task::spawn_local(async move {
                     host.callers.set(host.callers.get() + 1);
@@ -176,8 +177,12 @@
     let done = run::run(host, plan, Rc::new(message), authority).await;
     let took = host.now().saturating_sub(arrived);
     let (outcome, response) = conclude(host, &route, &done);
-    host.board.count("requests", outcome);
-    host.board.time("request", outcome, took);
+    host.board.count(metric::REQUESTS, outcome);
+    let now = host.now();
+    host.board.time(now, metric::REQUEST_SECONDS, outcome, took);
+    if done.unpaid > 0 {
+        host.board.add(metric::UNPAID, done.unpaid.into());
+    }
     let late = took > route.objective;
     if late || outcome != "whole" || done.repeats > 0 || is_sampled(&id) {
         let missing: Vec<&str> = done.missing.iter().map(|service| &**service).collect();
@@ -276,7 +281,7 @@
     D: Dialect,
     S: Source,
 {
-    host.board.count("requests", "turned away");
+    host.board.count(metric::REQUESTS, "turned away");
     info!(
         event = "request",
         id = ask.id.as_deref().unwrap_or_default(),
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -1,6 +1,7 @@
 //! What all tasks of this process share.
 
 use crate::dialect::Dialect;
+use crate::metric;
 use crate::metric::Board;
 use crate::peer::Peers;
 use crate::pool::Pool;
@@ -143,7 +144,7 @@
         let serving = swim.serving();
         core.hosts
             .update(serving.map(|m| (m.host.clone(), m.domain.clone())));
-        self.board.gauge("hosts", f64::from(hosts));
+        self.board.gauge(metric::HOSTS, f64::from(hosts));
     }
 }
 
--- a/crates/lentillift-gateway/src/member.rs
+++ b/crates/lentillift-gateway/src/member.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::host::Host;
+use crate::metric;
 use crate::source::Source;
 use lentillift_fleet::swim;
 use lentillift_fleet::swim::Effect;
@@ -40,7 +41,7 @@
     match datagram::decode(bytes) {
         Ok(packet) => host.swim.borrow_mut().packet(host.now(), packet),
         Err(error) => {
-            host.board.count("datagrams", "malformed");
+            host.board.count(metric::MALFORMED, "datagram");
             tracing::debug!(event = "datagram", error, "malformed");
             Vec::new()
         }
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -1,94 +1,83 @@
-//! Counters and histograms of this process, as Prometheus text.
+//! Counters, gauges and latencies of this process; their meanings stand in
+//! [`lentillift_operator::catalog`].
 
-use hdrhistogram::Histogram;
+use lentillift_core::time::Time;
+use lentillift_operator::metric::Metrics;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::time::Duration;
 
-/// Longest time that a histogram tells apart, in microseconds.
-const LONGEST: u64 = 60_000_000;
+/// Callers' requests, by outcome.
+pub const REQUESTS: &str = "lentillift_gateway_requests_total";
 
-/// Bounds of the buckets that are shown, in milliseconds.
-const BUCKETS: [u64; 12] = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000];
+/// Time to answer callers' requests, by outcome.
+pub const REQUEST_SECONDS: &str = "lentillift_gateway_request_seconds";
 
-/// Everything that is counted; names are fixed in the code, so their number is bounded.
+/// Time from a send to its end, by outcome.
+pub const SEND_SECONDS: &str = "lentillift_gateway_send_seconds";
+
+/// Sends, by where they went.
+pub const SENDS: &str = "lentillift_gateway_sends_total";
+
+/// Repeated sends that the budget did not allow.
+pub const UNPAID: &str = "lentillift_gateway_repeats_refused_total";
+
+/// Calls to the service that publishes, by kind.
+pub const SERVICE_CALLS: &str = "lentillift_gateway_service_calls_total";
+
+/// Connections of callers that were taken.
+pub const CALLERS: &str = "lentillift_gateway_caller_connections_total";
+
+/// Datagrams that could not be understood.
+pub const MALFORMED: &str = "lentillift_gateway_datagrams_malformed_total";
+
+/// Connections to backend servers that were opened.
+pub const OPENED: &str = "lentillift_gateway_backend_connections_opened";
+
+/// Connections to backend servers without a request.
+pub const IDLE: &str = "lentillift_gateway_backend_connections_idle";
+
+/// Hosts that may be at work, this one included.
+pub const HOSTS: &str = "lentillift_gateway_hosts";
+
+/// Version of the configuration in force.
+pub const CONFIG: &str = "lentillift_gateway_config_version";
+
+/// Age of what is believed of the published state.
+pub const AGE: &str = "lentillift_gateway_age_seconds";
+
+/// How late timers fire on average.
+pub const LAG: &str = "lentillift_gateway_timer_lag_seconds";
+
+/// Everything that is counted, shared by the tasks of one thread.
 #[derive(Debug, Default)]
 pub struct Board {
-    counters: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
-    gauges: RefCell<BTreeMap<&'static str, f64>>,
-    times: RefCell<BTreeMap<(&'static str, &'static str), Histogram<u32>>>,
+    metrics: RefCell<Metrics>,
 }
 
 impl Board {
-    /// Counts one event of `name` with an outcome or reason.
-    pub fn count(&self, name: &'static str, label: &'static str) {
-        *self.counters.borrow_mut().entry((name, label)).or_default() += 1;
+    /// Counts one event of `name` with an outcome, a reason or a kind.
+    pub fn count(&self, name: &'static str, kind: &'static str) {
+        self.metrics.borrow_mut().add(name, &[("kind", kind)], 1);
+    }
+
+    /// Counts several events.
+    pub fn add(&self, name: &'static str, count: u64) {
+        self.metrics.borrow_mut().add(name, &[], count);
     }
 
     /// Sets a value that goes up and down.
     pub fn gauge(&self, name: &'static str, value: f64) {
-        self.gauges.borrow_mut().insert(name, value);
+        self.metrics.borrow_mut().set(name, &[], value);
     }
 
     /// Notes how long something took.
-    pub fn time(&self, name: &'static str, label: &'static str, took: Duration) {
-        let mut times = self.times.borrow_mut();
-        let Ok(empty) = Histogram::new_with_bounds(1, LONGEST, 1) else {
-            return;
-        };
-        let histogram = times.entry((name, label)).or_insert(empty);
-        histogram.saturating_record(took.as_micros() as u64);
+    pub fn time(&self, now: Time, name: &'static str, kind: &'static str, took: Duration) {
+        let labels = [("kind", kind)];
+        self.metrics.borrow_mut().observe(now, name, &labels, took);
     }
 
     /// All of it, as text.
-    pub fn render(&self) -> String {
-        let mut text = String::new();
-        let mut last = "";
-        for ((name, label), value) in self.counters.borrow().iter() {
-            if *name != last {
-                let _ = writeln!(text, "# TYPE lentillift_{name}_total counter");
-                last = name;
-            }
-            let _ = writeln!(text, "lentillift_{name}_total{{kind=\"{label}\"}} {value}");
-        }
-        for (name, value) in self.gauges.borrow().iter() {
-            let _ = writeln!(text, "# TYPE lentillift_{name} gauge");
-            let _ = writeln!(text, "lentillift_{name} {value}");
-        }
-        last = "";
-        for ((name, label), histogram) in self.times.borrow().iter() {
-            if *name != last {
-                let _ = writeln!(text, "# TYPE lentillift_{name}_seconds histogram");
-                last = name;
-            }
-            render_time(&mut text, name, label, histogram);
-        }
-        text
-    }
-}
-
-fn render_time(text: &mut String, name: &str, label: &str, histogram: &Histogram<u32>) {
-    for bound in BUCKETS {
-        let below = histogram.count_between(0, bound * 1000);
-        let bound = bound as f64 / 1000.0;
-        let _ = writeln!(
-            text,
-            "lentillift_{name}_seconds_bucket{{kind=\"{label}\",le=\"{bound}\"}} {below}"
-        );
+    pub fn render(&self, now: Time) -> String {
+        self.metrics.borrow().text(now)
     }
-    let count = histogram.len();
-    let sum = histogram.mean() * count as f64 / 1e6;
-    let _ = writeln!(
-        text,
-        "lentillift_{name}_seconds_bucket{{kind=\"{label}\",le=\"+Inf\"}} {count}"
-    );
-    let _ = writeln!(
-        text,
-        "lentillift_{name}_seconds_sum{{kind=\"{label}\"}} {sum}"
-    );
-    let _ = writeln!(
-        text,
-        "lentillift_{name}_seconds_count{{kind=\"{label}\"}} {count}"
-    );
 }
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -10,6 +10,7 @@
 use crate::exchange::Reply;
 use crate::host::Host;
 use crate::message::Message;
+use crate::metric;
 use crate::source::Source;
 use futures_util::FutureExt;
 use futures_util::StreamExt;
@@ -94,6 +95,8 @@
 struct Arrival {
     number: Number,
     leg: usize,
+    /// Time since it was sent.
+    took: Duration,
     told: Told,
 }
 
@@ -124,7 +127,7 @@
         let now = self.host.now();
         if !self.finished {
             let after = now.saturating_sub(self.query.plan().arrived);
-            self.host.board.count("requests", "abandoned");
+            self.host.board.count(metric::REQUESTS, "abandoned");
             info!(
                 event = "abandoned",
                 id = %self.message.id,
@@ -215,7 +218,7 @@
 
     fn launch(&mut self, sends: Vec<Send>) {
         for send in sends {
-            self.host.board.count("ways", self.way(&send));
+            self.host.board.count(metric::SENDS, self.way(&send));
             if send.repeat {
                 self.tell_repeat(&send);
             }
@@ -323,13 +326,18 @@
 
     /// Takes in how a send ended.
     fn land(&mut self, arrival: Arrival) {
-        let Arrival { number, leg, told } = arrival;
+        let Arrival {
+            number,
+            leg,
+            took,
+            told,
+        } = arrival;
         let Told {
             ended,
             merged,
             rest,
         } = told;
-        self.tell(number, &ended, leg);
+        self.tell(number, &ended, leg, took);
         if let Some(rest) = rest {
             self.flights
                 .push(go_on(self.host.clone(), number, leg, rest).boxed_local());
@@ -361,7 +369,7 @@
         }
     }
 
-    fn tell(&mut self, number: Number, ended: &Ended, leg: usize) {
+    fn tell(&mut self, number: Number, ended: &Ended, leg: usize, took: Duration) {
         let label = match ended.outcome {
             Outcome::Part { .. } => "part",
             Outcome::Branch(_) => "branch",
@@ -371,7 +379,10 @@
             Outcome::Unreachable => "unreachable",
             Outcome::Broken => "broken",
         };
-        self.host.board.count("sends", label);
+
+        let now = self.now();
+        let board = &self.host.board;
+        board.time(now, metric::SEND_SECONDS, label, took);
         if matches!(ended.outcome, Outcome::Part { .. } | Outcome::Branch(_)) {
             return;
         }
@@ -382,6 +393,7 @@
             number,
             outcome = label,
             why = ended.why,
+            took_ms = took.as_millis() as u64,
             "ended without a part"
         );
     }
@@ -415,7 +427,9 @@
             let mut core = self.host.core.borrow_mut();
             let now = self.host.now();
             // What it would send now serves nobody.
-            let Arrival { number, leg, told } = arrival;
+            let Arrival {
+                number, leg, told, ..
+            } = arrival;
             self.query.close(&mut core, now, number, told.ended.outcome);
             if let Some(rest) = told.rest {
                 let host = self.host.clone();
@@ -439,6 +453,7 @@
     D: Dialect,
     S: Source,
 {
+    let began = host.now();
     let number = send.number;
     let leg = send.legs.first().copied().unwrap_or_default();
     let told = match &send.target {
@@ -456,7 +471,13 @@
             branch::ask(&host, &to, send, services, &authority, &message).await
         }
     };
-    Arrival { number, leg, told }
+    let took = host.now().saturating_sub(began);
+    Arrival {
+        number,
+        leg,
+        took,
+        told,
+    }
 }
 
 /// Waits for what a host still has to tell.
@@ -465,6 +486,13 @@
     D: Dialect,
     S: Source,
 {
+    let began = host.now();
     let told = rest.next(&host).await;
-    Arrival { number, leg, told }
+    let took = host.now().saturating_sub(began);
+    Arrival {
+        number,
+        leg,
+        took,
+        told,
+    }
 }
--- a/crates/lentillift-gateway/tests/front.rs
+++ b/crates/lentillift-gateway/tests/front.rs
@@ -120,7 +120,8 @@
             run(async {
                 let server = backend(vec![reply("yes")]).await;
                 let served = serve(singles(&[server.address])).await;
-                let answer = ask(served.front, &$request).await;
+                let request = String::from($request);
+                let answer = ask(served.front, &request).await;
                 assert_eq!(status(&answer), $status, "{answer}");
             });
         }
@@ -139,7 +140,7 @@
     /// A body has two lengths. Taken by one of them, what follows would be a request of its own that
     /// nobody sent.
     two_lengths: post("Content-Length: 3\r\nContent-Length: 5", "abcde") => 400;
-    no_id: "GET /one/x HTTP/1.1\r\nHost: search.example\r\n\r\n".to_owned() => 200;
+    no_id: "GET /one/x HTTP/1.1\r\nHost: search.example\r\n\r\n" => 200;
     head_over_the_limit: get("/one/x", &"i".repeat(20_000)) => 431;
 }
 
--- a/crates/lentillift-gateway/tests/hosts.rs
+++ b/crates/lentillift-gateway/tests/hosts.rs
@@ -75,7 +75,7 @@
 }
 
 fn counted(host: &Shared, line: &str) -> bool {
-    host.board.render().contains(line)
+    host.board.render(host.now()).contains(line)
 }
 
 #[test]
@@ -93,7 +93,7 @@
             .map(|c| c.to_string().repeat(16))
             .concat();
         assert!(answer.ends_with(&expected), "{answer}");
-        assert!(counted(&entry, "ways_total{kind=\"host\"} 1"));
+        assert!(counted(&entry, "sends_total{kind=\"host\"} 1"));
         assert!(!counted(&entry, "kind=\"far\""));
     });
 }
@@ -110,7 +110,7 @@
         let answer = ask(front(&entry).await, &get("/all/x", "i")).await;
         assert_eq!(status(&answer), 200);
         assert_eq!(header(&answer, "x-missing").as_deref(), Some("0"));
-        assert!(counted(&entry, "ways_total{kind=\"far\"} 5"));
+        assert!(counted(&entry, "sends_total{kind=\"far\"} 5"));
     });
 }
 
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -74,6 +74,62 @@
         "lentillift_fresh_starts_total",
         "Queries started anew because a shard had dropped the snapshot.",
     ),
+    (
+        "lentillift_gateway_age_seconds",
+        "Age of what is believed of the published state, in seconds; -1 before the first news.",
+    ),
+    (
+        "lentillift_gateway_backend_connections_idle",
+        "Connections to backend servers without a request.",
+    ),
+    (
+        "lentillift_gateway_backend_connections_opened",
+        "Connections to backend servers opened since the start.",
+    ),
+    (
+        "lentillift_gateway_caller_connections_total",
+        "Connections of callers that were taken.",
+    ),
+    (
+        "lentillift_gateway_config_version",
+        "Version of the configuration in force; 0 before the first.",
+    ),
+    (
+        "lentillift_gateway_datagrams_malformed_total",
+        "Datagrams that could not be understood.",
+    ),
+    (
+        "lentillift_gateway_hosts",
+        "Hosts that may be at work, this one included.",
+    ),
+    (
+        "lentillift_gateway_repeats_refused_total",
+        "Repeated sends that the budget did not allow.",
+    ),
+    (
+        "lentillift_gateway_request_seconds",
+        "Time to answer callers' requests, by outcome.",
+    ),
+    (
+        "lentillift_gateway_requests_total",
+        "Callers' requests, by outcome.",
+    ),
+    (
+        "lentillift_gateway_send_seconds",
+        "Time from a send to its end, by outcome.",
+    ),
+    (
+        "lentillift_gateway_sends_total",
+        "Sends to backend servers and other hosts, by where they went.",
+    ),
+    (
+        "lentillift_gateway_service_calls_total",
+        "Calls to the service that publishes, by kind.",
+    ),
+    (
+        "lentillift_gateway_timer_lag_seconds",
+        "How late timers fire on average: above some milliseconds the processor is short.",
+    ),
     (
         "lentillift_hedges_busy_total",
         "Hedges not sent because the other replica was busy or cold.",
