--- a/crates/lentillift-entry/tests/patterns.rs
+++ b/crates/lentillift-entry/tests/patterns.rs
@@ -112,7 +112,7 @@
     };
 
     /// Three times as much is asked as the servers can do, most of it from the archive. Without
-    /// a choice nearly every answer would have holes; with it mourners notice nothing.
+    /// a choice nearly every answer would have holes; with it callers notice nothing.
     overload_is_borne_by_the_archive: overload at 0.1 => |world| {
         let name = summary(world, "name", 0.0, END);
         let archive = summary(world, "archive", 0.0, END);
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -363,7 +363,7 @@
 
 proptest! {
     /// Servers reply, fail, turn away, refuse, break and hang in any mixture. No more of them than
-    /// the route allows run a shard's request, every request ends by its time limit, and an action
+    /// the route allows run a shard's request, every request ends by its deadline, and an action
     /// that a server may have run is neither sent again nor called not run.
     #[test]
     fn limits_hold_whatever_servers_do(
--- a/crates/lentilliftd/tests/truth.rs
+++ b/crates/lentilliftd/tests/truth.rs
@@ -223,7 +223,7 @@
     }
 }
 
-/// A mourner closes the page while the search runs. Its backend servers must not go on with work
+/// A caller closes the page while the search runs. Its backend servers must not go on with work
 /// that nobody waits for.
 #[test]
 fn a_caller_that_goes_away_cancels_down_to_the_backend_servers() {
