--- a/crates/lentillift-fleet/src/swim.rs
+++ b/crates/lentillift-fleet/src/swim.rs
@@ -5,7 +5,8 @@
 //! that knows of no other serves alone. It shares its parts with [`crate::core`], which adds values,
 //! leases and the published list of hosts.
 
-use crate::drift;
+mod account;
+
 use crate::drift::Drift;
 use crate::gossip::Queue;
 use crate::life::Any;
@@ -35,13 +36,6 @@
 /// How long this process asks the seeds and many hosts at a time, so that it soon knows the fleet.
 const JOINING: Duration = Duration::from_secs(2);
 
-/// How long pictures are expected to differ after a start, because hosts of the fleet start together.
-const SETTLING: Duration = Duration::from_secs(10);
-
-/// Time between two full accounts while they do, for each host that they name: some 60 bytes each, so
-/// that hosts that start at once know each other within seconds and send 200 KB a second at most.
-const TABLE_TIME: Duration = Duration::from_micros(300);
-
 /// Time between two questions to the seeds once others are known.
 ///
 /// Two parts of a fleet that started apart, each with its own seed, find each other only so.
@@ -306,32 +300,6 @@
         effects
     }
 
-    /// Tells a host that has just turned up of all the others.
-    ///
-    /// News alone would reach it only of hosts that change after it came.
-    fn introduce(&self, to: SocketAddr) -> Vec<Effect> {
-        let known = self.table.iter().filter(|m| m.address != to);
-        // Those that are over too: whoever missed an end would wait for that host for good.
-        let known = known.filter(|m| m.version > 0);
-        let mut batches = vec![Vec::new()];
-        let mut room = crate::packet::NEWS_BYTES;
-        for member in known {
-            let news = News::Member(member.clone());
-            let bytes = news.bytes();
-            if bytes > room {
-                batches.push(Vec::new());
-                room = crate::packet::NEWS_BYTES;
-            }
-            room = room.saturating_sub(bytes);
-            if let Some(batch) = batches.last_mut() {
-                batch.push(news);
-            }
-        }
-        let full = batches.into_iter().filter(|batch| !batch.is_empty());
-        full.map(|news| Effect::Packet(to, self.carry(Body::Push, news)))
-            .collect()
-    }
-
     fn learn(&mut self, now: Time, news: &Member) -> Vec<Effect> {
         if news.host == self.own.host {
             self.refute(news);
@@ -350,31 +318,6 @@
         vec![Effect::Changed(news.clone())]
     }
 
-    /// Tells a host whose picture has differed from this one's for a while of all hosts.
-    ///
-    /// News is passed on a few times only, and datagrams get lost; without this a host could miss
-    /// another for good.
-    fn compare(&mut self, now: Time, from: &Member, theirs: u64) -> Vec<Effect> {
-        let same = theirs == self.digest();
-        if now < self.started + SETTLING {
-            if same || now < self.next_table {
-                return Vec::new();
-            }
-            self.next_table = now + TABLE_TIME * self.table.len() as u32;
-            return self.introduce(from.address);
-        }
-        let patience = drift::member_patience(self.table.len());
-        match self.drift.observe(now, same, patience) {
-            true => self.introduce(from.address),
-            false => Vec::new(),
-        }
-    }
-
-    /// Equal for two processes that know the same of all hosts.
-    fn digest(&self) -> u64 {
-        self.table.digest() ^ self.own.digest()
-    }
-
     fn refute(&mut self, news: &Member) {
         let Some(life) = &mut self.life else {
             return;
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -1,33 +1,17 @@
 //! The process: its listeners, its tasks, and its end.
 
-use crate::branch;
 use crate::dialect::Dialect;
 use crate::feed;
-use crate::frame;
 use crate::front;
 use crate::host::Host;
 use crate::host::Stage;
-use crate::local::Executor;
+use crate::listen;
 use crate::member;
 use crate::metric;
 use crate::metric::Board;
 use crate::peer::Peers;
 use crate::pool::Pool;
-use crate::pool::tune;
 use crate::source::Source;
-use bytes::Bytes;
-use http::Request;
-use http::Response;
-use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Either;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::server::conn::http2;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
@@ -46,14 +30,12 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -75,12 +57,6 @@
 /// Time before the end of the time to end at which the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(350);
 
-/// Longest time to read a request of the balancer or of an operator.
-const PLAIN_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Largest message of another host, in bytes.
-const MOST_BYTES: usize = 4 * 1024 * 1024;
-
 /// What one process is told at its start.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -134,7 +110,7 @@
     local.block_on(&runtime, serve(settings, dialect, source, reload))
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|e| Error::new(Step::Listen, address, e))
 }
@@ -145,19 +121,19 @@
     S: Source,
     F: FnMut() -> Option<Tuning> + 'static,
 {
-    let front = listen(settings.front).await?;
-    let ready = listen(settings.ready).await?;
-    let node = listen(settings.node).await?;
+    let front = bind(settings.front).await?;
+    let ready = bind(settings.ready).await?;
+    let node = bind(settings.node).await?;
     let socket = UdpSocket::bind(settings.node).await;
     let socket = Rc::new(socket.map_err(|e| Error::new(Step::Listen, settings.node, e))?);
     let host = make(&settings, dialect, source);
     info!(event = "start", host = %host.name, domain = %host.domain, front = %settings.front, "up");
     if let Some(address) = settings.metrics {
-        let listener = listen(address).await?;
-        tokio::task::spawn_local(plain(host.clone(), listener));
+        let listener = bind(address).await?;
+        tokio::task::spawn_local(listen::plain(host.clone(), listener));
     }
-    tokio::task::spawn_local(plain(host.clone(), ready));
-    tokio::task::spawn_local(nodes(host.clone(), node));
+    tokio::task::spawn_local(listen::plain(host.clone(), ready));
+    tokio::task::spawn_local(listen::nodes(host.clone(), node));
     tokio::task::spawn_local(member::run(host.clone(), socket.clone()));
     tokio::task::spawn_local(feed::follow(host.clone()));
     tokio::task::spawn_local(keep_house(host.clone(), socket.clone()));
@@ -333,111 +309,3 @@
         }
     }
 }
-
-/// Tells the balancer and operators how this process is.
-async fn plain<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
-where
-    D: Dialect,
-    S: Source,
-{
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(HOUSEKEEPING).await;
-            continue;
-        };
-        let host = host.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|request: Request<Incoming>| {
-                let response = report(&host, request.uri().path());
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(PLAIN_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
-            // Its error concerns nobody but the one who asked.
-            let _ = connection.await;
-        });
-    }
-}
-
-fn report<D, S>(host: &Host<D, S>, path: &str) -> Response<Full<Bytes>>
-where
-    D: Dialect,
-    S: Source,
-{
-    let mut response = Response::new(Full::default());
-    match path {
-        "/metrics" => *response.body_mut() = Full::new(host.board.render(host.now()).into()),
-        _ if host.is_ready() => {}
-        _ => *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
-    }
-    response
-}
-
-type Body = Either<Full<Bytes>, frame::Body>;
-
-/// Serves other hosts.
-pub async fn nodes<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
-where
-    D: Dialect,
-    S: Source,
-{
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(HOUSEKEEPING).await;
-            continue;
-        };
-        tokio::task::spawn_local(node(host.clone(), stream));
-    }
-}
-
-async fn node<D, S>(host: Rc<Host<D, S>>, stream: TcpStream)
-where
-    D: Dialect,
-    S: Source,
-{
-    tune(&stream);
-    let service = service_fn(move |request: Request<Incoming>| {
-        let host = host.clone();
-        async move { Ok::<_, Infallible>(serve_node(host, request).await) }
-    });
-    let connection = http2::Builder::new(Executor)
-        .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), service);
-    // Its error ends the peer's requests, which the peer notices.
-    let _ = connection.await;
-}
-
-async fn serve_node<D, S>(host: Rc<Host<D, S>>, request: Request<Incoming>) -> Response<Body>
-where
-    D: Dialect,
-    S: Source,
-{
-    let path = request.uri().path().to_owned();
-    if path == branch::PATH {
-        let body = http_body_util::Limited::new(request.into_body(), MOST_BYTES);
-        let answered = match body.collect().await {
-            Ok(body) => branch::answer(&host, &body.to_bytes()),
-            Err(e) => Err(Error::new(Step::Read, "host", e)),
-        };
-        return match answered {
-            Ok(body) => Response::new(Either::Right(body)),
-            Err(error) => {
-                warn!(event = "branch", %error, "not served");
-                bad().map(Either::Left)
-            }
-        };
-    }
-    let after = path.strip_prefix(feed::PATH);
-    match after.and_then(|after| after.parse().ok()) {
-        Some(after) => Response::new(Either::Right(feed::tell(host, after))),
-        None => bad().map(Either::Left),
-    }
-}
-
-fn bad() -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = StatusCode::BAD_REQUEST;
-    response
-}
--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -18,7 +18,7 @@
 use http::header;
 use http_body_util::Full;
 use lentillift_scatter::config::Kind;
-use lentillift_scatter::query::Outcome;
+use lentillift_scatter::outcome::Outcome;
 use lentillift_scatter::replica::Load;
 use lentillift_scatter::server::Server;
 use std::time::Duration;
--- /dev/null
+++ b/crates/lentillift-gateway/src/flight.rs
@@ -0,0 +1,93 @@
+//! One send, from its start to what came of it.
+
+use crate::branch;
+use crate::branch::Rest;
+use crate::branch::Told;
+use crate::dialect::Dialect;
+use crate::exchange;
+use crate::host::Host;
+use crate::message::Message;
+use crate::source::Source;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
+use lentillift_scatter::config::Route;
+use lentillift_scatter::leg::Target;
+use lentillift_scatter::outcome::Send;
+use lentillift_scatter::replica::Number;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A send that has ended.
+pub(crate) struct Arrival {
+    pub(crate) number: Number,
+    pub(crate) leg: usize,
+    /// Time since it was sent.
+    pub(crate) took: Duration,
+    pub(crate) told: Told,
+}
+
+/// Sends that are under way.
+pub(crate) type Flights = FuturesUnordered<LocalBoxFuture<'static, Arrival>>;
+
+/// Sends once and waits for the end.
+pub(crate) async fn fly<D, S>(
+    host: Rc<Host<D, S>>,
+    route: Arc<Route>,
+    services: Vec<String>,
+    send: Send,
+    message: Rc<Message>,
+    authority: Rc<str>,
+) -> Arrival
+where
+    D: Dialect,
+    S: Source,
+{
+    let began = host.now();
+    let number = send.number;
+    let leg = send.legs.first().copied().unwrap_or_default();
+    let told = match &send.target {
+        Target::Server(server) => {
+            let left = send.left;
+            let ended = exchange::exchange(&host, server, route.kind, &message, left).await;
+            Told {
+                ended,
+                merged: None,
+                rest: None,
+            }
+        }
+        Target::Host { host: to, .. } => {
+            let to = to.clone();
+            branch::ask(&host, &to, send, services, &authority, &message).await
+        }
+    };
+    let took = host.now().saturating_sub(began);
+    Arrival {
+        number,
+        leg,
+        took,
+        told,
+    }
+}
+
+/// Waits for what a host still has to tell.
+pub(crate) async fn go_on<D, S>(
+    host: Rc<Host<D, S>>,
+    number: Number,
+    leg: usize,
+    rest: Rest,
+) -> Arrival
+where
+    D: Dialect,
+    S: Source,
+{
+    let began = host.now();
+    let told = rest.next(&host).await;
+    let took = host.now().saturating_sub(began);
+    Arrival {
+        number,
+        leg,
+        took,
+        told,
+    }
+}
--- /dev/null
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -0,0 +1,148 @@
+//! Listeners for whoever is not a caller: the balancer, operators and other hosts.
+
+use crate::branch;
+use crate::dialect::Dialect;
+use crate::feed;
+use crate::frame;
+use crate::host::Host;
+use crate::local::Executor;
+use crate::pool::tune;
+use crate::source::Source;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use lentillift_core::error::Error;
+use lentillift_core::error::Step;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tracing::warn;
+
+/// Pause after a failed `accept`, for example when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time to read a request of the balancer or of an operator.
+const PLAIN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Largest message of another host, in bytes.
+const MOST_BYTES: usize = 4 * 1024 * 1024;
+
+/// Tells the balancer and operators how this process is.
+pub async fn plain<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
+where
+    D: Dialect,
+    S: Source,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let host = host.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = report(&host, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(PLAIN_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            // Its error concerns nobody but the one who asked.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn report<D, S>(host: &Host<D, S>, path: &str) -> Response<Full<Bytes>>
+where
+    D: Dialect,
+    S: Source,
+{
+    let mut response = Response::new(Full::default());
+    match path {
+        "/metrics" => *response.body_mut() = Full::new(host.board.render(host.now()).into()),
+        _ if host.is_ready() => {}
+        _ => *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
+    }
+    response
+}
+
+type Body = Either<Full<Bytes>, frame::Body>;
+
+/// Serves other hosts.
+pub async fn nodes<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
+where
+    D: Dialect,
+    S: Source,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        tokio::task::spawn_local(node(host.clone(), stream));
+    }
+}
+
+async fn node<D, S>(host: Rc<Host<D, S>>, stream: TcpStream)
+where
+    D: Dialect,
+    S: Source,
+{
+    tune(&stream);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let host = host.clone();
+        async move { Ok::<_, Infallible>(serve_node(host, request).await) }
+    });
+    let connection = http2::Builder::new(Executor)
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    // Its error ends the peer's requests, which the peer notices.
+    let _ = connection.await;
+}
+
+async fn serve_node<D, S>(host: Rc<Host<D, S>>, request: Request<Incoming>) -> Response<Body>
+where
+    D: Dialect,
+    S: Source,
+{
+    let path = request.uri().path().to_owned();
+    if path == branch::PATH {
+        let body = http_body_util::Limited::new(request.into_body(), MOST_BYTES);
+        let answered = match body.collect().await {
+            Ok(body) => branch::answer(&host, &body.to_bytes()),
+            Err(e) => Err(Error::new(Step::Read, "host", e)),
+        };
+        return match answered {
+            Ok(body) => Response::new(Either::Right(body)),
+            Err(error) => {
+                warn!(event = "branch", %error, "not served");
+                bad().map(Either::Left)
+            }
+        };
+    }
+    let after = path.strip_prefix(feed::PATH);
+    match after.and_then(|after| after.parse().ok()) {
+        Some(after) => Response::new(Either::Right(feed::tell(host, after))),
+        None => bad().map(Either::Left),
+    }
+}
+
+fn bad() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -1,107 +1,37 @@
 //! Carries out what a query decides: sends, waits, and collects the parts.
 
-use crate::branch;
 use crate::branch::Merged;
-use crate::branch::Rest;
 use crate::branch::Told;
 use crate::dialect::Dialect;
-use crate::exchange;
 use crate::exchange::Ended;
-use crate::exchange::Reply;
+use crate::flight;
+use crate::flight::Arrival;
+use crate::flight::Flights;
 use crate::host::Host;
 use crate::message::Message;
 use crate::metric;
+use crate::part::Content;
+use crate::part::Done;
+use crate::part::Part;
 use crate::source::Source;
 use futures_util::FutureExt;
 use futures_util::StreamExt;
-use futures_util::future::LocalBoxFuture;
-use futures_util::stream::FuturesUnordered;
-use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_scatter::leg::Target;
-use lentillift_scatter::query::Next;
-use lentillift_scatter::query::Outcome;
-use lentillift_scatter::query::Plan;
+use lentillift_scatter::outcome::Next;
+use lentillift_scatter::outcome::Outcome;
+use lentillift_scatter::outcome::Send;
+use lentillift_scatter::plan::Plan;
 use lentillift_scatter::query::Query;
-use lentillift_scatter::query::Send;
 use lentillift_scatter::replica::Number;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tracing::info;
 
 /// Shortest time that is waited for; timers are no finer.
 const SHORTEST_WAIT: Duration = Duration::from_micros(500);
 
-/// What one send brought.
-#[derive(Debug)]
-pub struct Part {
-    /// What it brought.
-    pub content: Content,
-}
-
-/// What one send brought.
-#[derive(Debug)]
-pub enum Content {
-    /// A backend server's reply.
-    Reply(Reply),
-    /// Parts that another host merged.
-    Merged(Merged),
-}
-
-impl Part {
-    /// The signature of a single backend server's reply.
-    pub fn signature(&self) -> Option<&str> {
-        match &self.content {
-            Content::Reply(reply) => reply.signature.as_deref(),
-            Content::Merged(_) => None,
-        }
-    }
-
-    /// The signatures of all that it brought.
-    pub fn signatures(&self) -> Vec<Box<str>> {
-        match &self.content {
-            Content::Reply(reply) => reply.signature.clone().into_iter().collect(),
-            Content::Merged(merged) => merged.signatures.clone(),
-        }
-    }
-
-    /// Its records.
-    pub fn records(&self) -> &[u8] {
-        match &self.content {
-            Content::Reply(reply) => reply.response.body(),
-            Content::Merged(merged) => &merged.records,
-        }
-    }
-}
-
-/// How a request ended.
-#[derive(Debug)]
-pub struct Done {
-    /// What to do.
-    pub next: Next,
-    /// What the sends brought that the answer is made of, or the failure to pass on.
-    pub parts: Vec<Part>,
-    /// Sends that were made as repeats.
-    pub repeats: u32,
-    /// Repeats that the budget did not allow.
-    pub unpaid: u32,
-    /// Services whose part is missing.
-    pub missing: Vec<id::Service>,
-}
-
-/// A send that has ended.
-struct Arrival {
-    number: Number,
-    leg: usize,
-    /// Time since it was sent.
-    took: Duration,
-    told: Told,
-}
-
-type Flights = FuturesUnordered<LocalBoxFuture<'static, Arrival>>;
-
 /// A query and its sends; gives them up when it is dropped, as when its caller leaves.
 pub struct Run<D, S>
 where
@@ -222,7 +152,7 @@
             if send.repeat {
                 self.tell_repeat(&send);
             }
-            let flight = fly(
+            let flight = flight::fly(
                 self.host.clone(),
                 self.query.plan().route.clone(),
                 self.names(&send),
@@ -340,7 +270,7 @@
         self.tell(number, &ended, leg, took);
         if let Some(rest) = rest {
             self.flights
-                .push(go_on(self.host.clone(), number, leg, rest).boxed_local());
+                .push(flight::go_on(self.host.clone(), number, leg, rest).boxed_local());
         }
         if let Some(reply) = ended.reply {
             let content = Content::Reply(reply);
@@ -434,65 +364,8 @@
             if let Some(rest) = told.rest {
                 let host = self.host.clone();
                 self.flights
-                    .push(go_on(host, number, leg, rest).boxed_local());
+                    .push(flight::go_on(host, number, leg, rest).boxed_local());
             }
         }
     }
 }
-
-/// Sends once and waits for the end.
-async fn fly<D, S>(
-    host: Rc<Host<D, S>>,
-    route: Arc<lentillift_scatter::config::Route>,
-    services: Vec<String>,
-    send: Send,
-    message: Rc<Message>,
-    authority: Rc<str>,
-) -> Arrival
-where
-    D: Dialect,
-    S: Source,
-{
-    let began = host.now();
-    let number = send.number;
-    let leg = send.legs.first().copied().unwrap_or_default();
-    let told = match &send.target {
-        Target::Server(server) => {
-            let left = send.left;
-            let ended = exchange::exchange(&host, server, route.kind, &message, left).await;
-            Told {
-                ended,
-                merged: None,
-                rest: None,
-            }
-        }
-        Target::Host { host: to, .. } => {
-            let to = to.clone();
-            branch::ask(&host, &to, send, services, &authority, &message).await
-        }
-    };
-    let took = host.now().saturating_sub(began);
-    Arrival {
-        number,
-        leg,
-        took,
-        told,
-    }
-}
-
-/// Waits for what a host still has to tell.
-async fn go_on<D, S>(host: Rc<Host<D, S>>, number: Number, leg: usize, rest: Rest) -> Arrival
-where
-    D: Dialect,
-    S: Source,
-{
-    let began = host.now();
-    let told = rest.next(&host).await;
-    let took = host.now().saturating_sub(began);
-    Arrival {
-        number,
-        leg,
-        took,
-        told,
-    }
-}
--- a/crates/lentillift-gateway/tests/hosts.rs
+++ b/crates/lentillift-gateway/tests/hosts.rs
@@ -18,9 +18,9 @@
 use lentillift_fleet::packet::Body;
 use lentillift_fleet::packet::Digest;
 use lentillift_fleet::packet::Packet;
-use lentillift_gateway::daemon;
 use lentillift_gateway::feed;
 use lentillift_gateway::front;
+use lentillift_gateway::listen;
 use lentillift_scatter::source::Item;
 use lentillift_scatter::source::News;
 use std::net::SocketAddr;
@@ -34,7 +34,7 @@
         host.learn(Some(News::All { revision: 1, items }), Duration::ZERO);
     }
     host.swim.borrow_mut().serve();
-    tokio::task::spawn_local(daemon::nodes(host.clone(), listener));
+    tokio::task::spawn_local(listen::nodes(host.clone(), listener));
     host
 }
 
--- a/crates/lentillift-scatter/src/lib.rs
+++ b/crates/lentillift-scatter/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod host;
 pub mod leg;
 pub mod limit;
+pub mod outcome;
+pub mod plan;
 pub mod query;
 pub mod record;
 pub mod replica;
--- /dev/null
+++ b/crates/lentillift-scatter/src/plan.rs
@@ -0,0 +1,92 @@
+//! What is asked, and what makes an answer.
+
+use crate::config::Route;
+use crate::config::Target;
+use crate::core::Core;
+use crate::view::View;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What is asked, and what makes an answer.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The picture that the request arrived under.
+    pub view: Arc<View>,
+    /// Services to ask, one for each shard.
+    pub services: Vec<id::Service>,
+    /// When it arrived.
+    pub arrived: Time,
+    /// When an answer that lacks parts should leave.
+    pub soft: Time,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// Least share of the shards that makes an answer; none if whatever is there will do.
+    pub coverage: Option<f64>,
+    /// Backend servers that each shard's request may be sent to.
+    pub attempts: u32,
+    /// Whether other hosts may be asked.
+    pub branches: bool,
+    /// Whether only backend servers of this failure domain may be asked, and no leg twice.
+    pub near_only: bool,
+}
+
+impl Plan {
+    /// A plan for a caller's request that arrived at `now` and has `left` to be answered.
+    pub fn new(
+        core: &mut Core,
+        route: &Arc<Route>,
+        view: &Arc<View>,
+        services: Vec<id::Service>,
+        now: Time,
+        left: Duration,
+    ) -> Self {
+        let objective = route.objective;
+        let margin = core.options.margin + core.lag.mean();
+        let margin = margin.min(objective / 3);
+        let spent = core.spent(route, left);
+        let coverage = match &route.target {
+            Target::Scatter(scatter) => scatter.coverage,
+            Target::Split(_) => 1.0,
+        };
+        let left = left.min(route.timeout);
+        let deadline = now + left.saturating_sub(margin.min(left / 10));
+        Self {
+            route: route.clone(),
+            view: view.clone(),
+            services,
+            arrived: now,
+            soft: (now + objective.saturating_sub(margin + spent)).min(deadline),
+            deadline,
+            coverage: Some(coverage),
+            attempts: route.attempts,
+            branches: core.options.branches,
+            near_only: false,
+        }
+    }
+
+    /// A plan for another host's question that arrived at `now`.
+    pub fn branch(
+        route: &Arc<Route>,
+        view: &Arc<View>,
+        services: Vec<id::Service>,
+        now: Time,
+        deadline: Time,
+    ) -> Self {
+        Self {
+            route: route.clone(),
+            view: view.clone(),
+            services,
+            arrived: now,
+            soft: deadline,
+            deadline,
+            coverage: None,
+            attempts: 1,
+            branches: false,
+            near_only: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -0,0 +1,245 @@
+//! The first sends of a request, and what every send has in common.
+
+use super::Branch;
+use super::Query;
+use crate::config::Kind;
+use crate::core::Choice;
+use crate::core::Core;
+use crate::host::Bucket;
+use crate::leg::Target;
+use crate::leg::Try;
+use crate::outcome::Send;
+use crate::server::Server;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Fewest shards for which another host is asked; below, its reply is no smaller than theirs.
+const LEAST_BRANCH: usize = 3;
+
+/// Time that the way to another host and back takes, with its work: two round trips within a region,
+/// and as much again for a host that is busy.
+const BRANCH_TRIP: Duration = Duration::from_millis(8);
+
+impl Query {
+    pub(super) fn choices(&self, core: &mut Core, now: Time) -> Vec<Option<Choice>> {
+        let typical = core.pace(&self.plan.route).typical;
+        let view = &self.plan.view;
+        let domain = self.plan.near_only.then(|| core.domain.clone());
+        let legs = self.legs.iter();
+        legs.map(|leg| {
+            let may = |server: &Server| domain.as_ref().is_none_or(|d| server.entry.domain == *d);
+            core.choose(view, &leg.service, typical, now, may)
+        })
+        .collect()
+    }
+
+    /// Makes the first sends: to hosts for many legs at once, directly for the others.
+    pub(super) fn first(
+        &mut self,
+        core: &mut Core,
+        choices: Vec<Option<Choice>>,
+        now: Time,
+    ) -> Vec<Send> {
+        let mut groups = match self.plan.branches && self.legs.len() > 1 {
+            true => self.groups(core, &choices, now),
+            false => Vec::new(),
+        };
+        groups.retain(|group| group.legs.len() >= LEAST_BRANCH);
+        let grouped: Vec<usize> = groups.iter().flat_map(|g| g.legs.clone()).collect();
+        let mut sends = Vec::new();
+        for group in groups {
+            sends.push(self.branch(core, group, now));
+        }
+        for (leg, choice) in choices.into_iter().enumerate() {
+            if let Some(choice) = choice
+                && !grouped.contains(&leg)
+            {
+                sends.push(self.direct(core, leg, choice.server, now, false));
+            }
+        }
+        sends
+    }
+
+    /// Legs that other hosts should be asked for.
+    fn groups(&self, core: &Core, choices: &[Option<Choice>], now: Time) -> Vec<Branch> {
+        let reachable = (0..self.legs.len()).filter(|leg| choices[*leg].is_some());
+        let (near, far) = reachable.partition(|leg| {
+            let mut servers = self.servers(core, *leg);
+            servers.any(|server| server.entry.domain == core.domain)
+        });
+        let mut groups = self.far_groups(core, far, now);
+        groups.extend(self.near_groups(core, near, now));
+        groups
+    }
+
+    fn servers<'a>(&self, core: &'a Core, leg: usize) -> impl Iterator<Item = &'a Arc<Server>> {
+        let service = &self.legs[leg].service;
+        let view = core.view.as_ref();
+        view.and_then(|view| view.servers.get(service))
+            .into_iter()
+            .flatten()
+    }
+
+    /// Legs with a replica here that are too many for one host, by the hosts that share them.
+    fn near_groups(&self, core: &Core, legs: Vec<usize>, now: Time) -> Vec<Branch> {
+        let buckets = legs.len().div_ceil(core.options.direct.max(1));
+        if buckets < 2 {
+            return Vec::new();
+        }
+        let mut parts: BTreeMap<Bucket, Vec<usize>> = BTreeMap::new();
+        for leg in legs {
+            let bucket = Bucket::of(&self.legs[leg].service, buckets);
+            parts.entry(bucket).or_default().push(leg);
+        }
+        let domain = &core.domain;
+        let parts = parts.into_iter().filter_map(|(bucket, legs)| {
+            let host = core.hosts.owner(domain, &core.name, bucket, now)?;
+            Some(Branch::new(host, domain, legs))
+        });
+        parts.collect()
+    }
+
+    /// Legs without a replica in this failure domain, by the hosts that should be asked for them.
+    ///
+    /// As few hosts as possible: of replicas in two other failure domains either will do, and one
+    /// reply for all of them is smaller than two.
+    fn far_groups(&self, core: &Core, mut rest: Vec<usize>, now: Time) -> Vec<Branch> {
+        let mut groups = Vec::new();
+        while !rest.is_empty() {
+            let mut covers: BTreeMap<&id::Domain, Vec<usize>> = BTreeMap::new();
+            for leg in &rest {
+                let domains: BTreeSet<&id::Domain> = self
+                    .servers(core, *leg)
+                    .map(|server| &server.entry.domain)
+                    .collect();
+                for domain in domains {
+                    covers.entry(domain).or_default().push(*leg);
+                }
+            }
+            let hosts = covers.into_iter().filter_map(|(domain, legs)| {
+                let host = core.hosts.choose(domain, now)?;
+                Some(Branch::new(host, domain, legs))
+            });
+            let best = hosts.max_by_key(|group| {
+                (
+                    group.legs.len(),
+                    std::cmp::Reverse(core.hosts.used(&group.host)),
+                )
+            });
+            let Some(mut group) = best else {
+                break;
+            };
+            group.legs.truncate(core.options.direct.max(LEAST_BRANCH));
+            rest.retain(|leg| !group.legs.contains(leg));
+            groups.push(group);
+        }
+        groups
+    }
+
+    /// Asks a backend server.
+    pub(super) fn direct(
+        &mut self,
+        core: &mut Core,
+        leg: usize,
+        server: Arc<Server>,
+        now: Time,
+        repeat: bool,
+    ) -> Send {
+        let number = core.number();
+        core.sent(number, &server, now);
+        self.earn(core, leg, now);
+        self.repeats += u32::from(repeat);
+        let hedge_at = self.patience(core).map(|patience| now + patience);
+        let target = Target::Server(server);
+        let state = &mut self.legs[leg];
+        state.arrivals += 1;
+        state.tries.push(Try {
+            number,
+            target: target.clone(),
+            sent: now,
+            repeat,
+        });
+        state.hedge_at = hedge_at;
+        Send {
+            number,
+            target,
+            legs: vec![leg],
+            left: self.left(core, now),
+            first: Duration::ZERO,
+            repeat,
+        }
+    }
+
+    /// Counts a leg's request for the budget, once, at the host that has the caller.
+    fn earn(&mut self, core: &mut Core, leg: usize, now: Time) {
+        if self.plan.near_only {
+            return;
+        }
+        let state = &mut self.legs[leg];
+        if !std::mem::replace(&mut state.earned, true) {
+            let service = state.service.clone();
+            core.earn(&service, now);
+        }
+    }
+
+    /// Asks another host for many legs.
+    fn branch(&mut self, core: &mut Core, branch: Branch, now: Time) -> Send {
+        let number = core.number();
+        core.hosts.sent(&branch.host, now);
+        let target = Target::Host {
+            host: branch.host.clone(),
+            domain: branch.domain.clone(),
+        };
+        let patience = self.patience(core).unwrap_or_default();
+        for leg in &branch.legs {
+            self.earn(core, *leg, now);
+            let state = &mut self.legs[*leg];
+            state.arrivals += 1;
+            state.tries.push(Try {
+                number,
+                target: target.clone(),
+                sent: now,
+                repeat: false,
+            });
+            state.hedge_at = Some(now + patience + BRANCH_TRIP);
+        }
+        let legs = branch.legs.clone();
+        self.branches.insert(number, branch);
+        Send {
+            number,
+            target,
+            legs,
+            left: self.left(core, now),
+            first: patience,
+            repeat: false,
+        }
+    }
+
+    /// Time that a receiver gets: what is left, and for a shard no more than is useful.
+    fn left(&self, core: &Core, now: Time) -> Duration {
+        let left = self.plan.deadline.saturating_sub(now);
+        if self.legs.len() < 2 {
+            return left;
+        }
+        let useful = self.plan.arrived + self.plan.route.objective * core.options.patience;
+        match useful.saturating_sub(now) {
+            useful if useful < self.plan.route.objective / 2 => left,
+            useful => left.min(useful),
+        }
+    }
+
+    /// Time after which another replica is asked; none if none may be.
+    pub(super) fn patience(&self, core: &mut Core) -> Option<Duration> {
+        if self.plan.route.kind == Kind::Once || self.plan.near_only {
+            return None;
+        }
+        let pace = core.pace(&self.plan.route);
+        let most = self.plan.route.objective.mul_f64(core.options.hedge_by);
+        let least = pace.typical.mul_f64(1.3);
+        Some(pace.late.min(most).max(least))
+    }
+}
