--- a/crates/lentillift-scatter/src/budget.rs
+++ b/crates/lentillift-scatter/src/budget.rs
@@ -6,6 +6,11 @@
 //! keeps to the share of its own requests and to its part of the fixed number, so the sum holds
 //! without messages.
 //!
+//! When the budget is scarce it goes first to what decides whether there is an answer at all. Pattern:
+//! half of the backend servers turn most requests away, each search lacks a few shards, and there is
+//! a repeat for one shard in four. Spent on whichever came first, half of the searches lack one shard
+//! too many and fail, while others are complete that need not be.
+//!
 //! A process that starts has no memory of what the former one of its host sent; for one window it
 //! spends only the share, never the fixed number.
 
@@ -28,6 +33,19 @@
     pub window: Duration,
 }
 
+/// What a repeated send is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// Without it there may be no answer.
+    Answer,
+    /// It makes an answer more complete.
+    Part,
+}
+
+/// Part of the budget that may go into making answers more complete; the rest is kept for answers
+/// that would fail. On calm days repeats take a quarter of the budget.
+const PART_SHARE: f64 = 0.5;
+
 /// What was sent in one part of the window.
 #[derive(Debug, Clone, Copy)]
 struct Part {
@@ -70,8 +88,8 @@
     }
 
     /// Pays for a repeated send, if the budget allows.
-    pub fn spend(&mut self, options: &Options, share: &Share, now: Time) -> bool {
-        if !self.allows(options, share, now) {
+    pub fn spend(&mut self, options: &Options, share: &Share, now: Time, purpose: Purpose) -> bool {
+        if !self.allows(options, share, now, purpose) {
             return false;
         }
         self.current(options, now).repeats += 1;
@@ -85,7 +103,13 @@
     }
 
     /// Whether one more repeated send is within the bounds.
-    pub fn allows(&mut self, options: &Options, share: &Share, now: Time) -> bool {
+    pub fn allows(
+        &mut self,
+        options: &Options,
+        share: &Share,
+        now: Time,
+        purpose: Purpose,
+    ) -> bool {
         let current = self.current(options, now).number;
         // A span that ends now begins inside the oldest part: its repeats may count, and its requests
         // may not.
@@ -99,7 +123,12 @@
             true => share.of(options.extra),
             false => 0,
         };
-        f64::from(repeats + 1) <= f64::from(requests) * options.ratio + f64::from(extra)
+        let allowed = f64::from(requests) * options.ratio + f64::from(extra);
+        let usable = match purpose {
+            Purpose::Answer => allowed,
+            Purpose::Part => allowed * PART_SHARE,
+        };
+        f64::from(repeats + 1) <= usable
     }
 }
 
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -3,6 +3,7 @@
 
 use crate::budget;
 use crate::budget::Budget;
+use crate::budget::Purpose;
 use crate::config::Route;
 use crate::host::Hosts;
 use crate::limit;
@@ -244,10 +245,10 @@
     }
 
     /// Pays for a repeated send.
-    pub fn spend(&mut self, service: &id::Service, now: Time) -> bool {
+    pub fn spend(&mut self, service: &id::Service, now: Time, purpose: Purpose) -> bool {
         let options = self.options.budget;
         let share = self.share;
-        self.budget(service).spend(&options, &share, now)
+        self.budget(service).spend(&options, &share, now, purpose)
     }
 
     /// Takes back a repeated send that never reached a backend server.
--- a/crates/lentillift-scatter/src/query/again.rs
+++ b/crates/lentillift-scatter/src/query/again.rs
@@ -1,6 +1,7 @@
 //! Asking another replica: after a send that brought nothing, or because it takes too long.
 
 use super::Query;
+use crate::budget::Purpose;
 use crate::config::Kind;
 use crate::core::Choice;
 use crate::core::Core;
@@ -74,13 +75,33 @@
         };
         let repeat = self.legs[leg].arrivals > 0;
         let service = self.legs[leg].service.clone();
-        if repeat && !core.spend(&service, now) {
+        let purpose = self.purpose(leg);
+        if repeat && !core.spend(&service, now, purpose) {
             self.unpaid += 1;
             return self.look_later(core, leg, now);
         }
         vec![self.direct(core, leg, choice.server, now, repeat)]
     }
 
+    /// What one more send for a leg is for: whether the caller would accept the answer without it and
+    /// without the others that are in the same state.
+    fn purpose(&self, leg: usize) -> Purpose {
+        let Some(coverage) = self.plan.coverage else {
+            return Purpose::Part;
+        };
+        let is_dead = self.legs[leg].tries.is_empty();
+        let alike = self.legs.iter().filter(|other| {
+            let open = other.done.is_none();
+            open && (!is_dead || other.tries.is_empty())
+        });
+        let without = self.legs.len() - alike.count();
+        let share = without as f64 / self.legs.len() as f64;
+        match share >= coverage {
+            true => Purpose::Part,
+            false => Purpose::Answer,
+        }
+    }
+
     /// A replica that was not asked for this leg, and whose reply would come in time.
     fn other(&self, core: &mut Core, leg: usize, now: Time, turned: Turned) -> Option<Choice> {
         let typical = core.pace(&self.plan.route).typical;
--- a/crates/lentillift-scatter/tests/budgets.rs
+++ b/crates/lentillift-scatter/tests/budgets.rs
@@ -3,6 +3,7 @@
 use lentillift_core::time::Time;
 use lentillift_scatter::budget::Budget;
 use lentillift_scatter::budget::Options;
+use lentillift_scatter::budget::Purpose;
 use lentillift_scatter::share::Share;
 use proptest::prelude::*;
 use std::time::Duration;
@@ -80,7 +81,7 @@
                 }
                 Step::Repeats(count) => {
                     for _ in 0..count {
-                        if budget.spend(&OPTIONS, share, now) {
+                        if budget.spend(&OPTIONS, share, now, Purpose::Answer) {
                             repeats.push(now);
                         }
                     }
@@ -102,12 +103,12 @@
     let mut budget = Budget::default();
     let share = share(1, Time::ZERO);
     let now = Duration::from_secs(5);
-    assert!(!budget.spend(&OPTIONS, &share, now));
+    assert!(!budget.spend(&OPTIONS, &share, now, Purpose::Answer));
     for _ in 0..5 {
         budget.earn(&OPTIONS, now);
     }
-    assert!(budget.spend(&OPTIONS, &share, now));
-    assert!(!budget.spend(&OPTIONS, &share, now));
+    assert!(budget.spend(&OPTIONS, &share, now, Purpose::Answer));
+    assert!(!budget.spend(&OPTIONS, &share, now, Purpose::Answer));
 }
 
 /// A burst ends and its servers are still slow. Repeats are still earned by the burst's requests for
@@ -120,8 +121,18 @@
     for _ in 0..10 {
         budget.earn(&OPTIONS, now);
     }
-    assert!(budget.allows(&OPTIONS, &share, now + Duration::from_secs(8)));
-    assert!(!budget.allows(&OPTIONS, &share, now + Duration::from_secs(11)));
+    assert!(budget.allows(
+        &OPTIONS,
+        &share,
+        now + Duration::from_secs(8),
+        Purpose::Answer
+    ));
+    assert!(!budget.allows(
+        &OPTIONS,
+        &share,
+        now + Duration::from_secs(11),
+        Purpose::Answer
+    ));
 }
 
 /// A repeated send finds the port closed. Nothing reached the server, so it costs nothing.
@@ -130,8 +141,24 @@
     let mut budget = Budget::default();
     let share = share(58, Time::ZERO);
     let now = Duration::from_secs(100);
-    assert!(budget.spend(&OPTIONS, &share, now));
-    assert!(!budget.spend(&OPTIONS, &share, now));
+    assert!(budget.spend(&OPTIONS, &share, now, Purpose::Answer));
+    assert!(!budget.spend(&OPTIONS, &share, now, Purpose::Answer));
     budget.refund(&OPTIONS, now);
-    assert!(budget.spend(&OPTIONS, &share, now));
+    assert!(budget.spend(&OPTIONS, &share, now, Purpose::Answer));
+}
+
+/// The budget runs low. What is left goes to searches that would fail without it, not to those that
+/// would only be more complete.
+#[test]
+fn the_last_half_is_for_answers() {
+    let mut budget = Budget::default();
+    let share = share(1000, Time::ZERO);
+    let now = Duration::from_secs(100);
+    for _ in 0..50 {
+        budget.earn(&OPTIONS, now);
+    }
+    let parts = (0..10).filter(|_| budget.spend(&OPTIONS, &share, now, Purpose::Part));
+    assert_eq!(parts.count(), 5);
+    let answers = (0..10).filter(|_| budget.spend(&OPTIONS, &share, now, Purpose::Answer));
+    assert_eq!(answers.count(), 5);
 }
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -11,6 +11,7 @@
 use common::single;
 use common::view;
 use lentillift_core::time::Time;
+use lentillift_scatter::budget::Purpose;
 use lentillift_scatter::config::Kind;
 use lentillift_scatter::config::Route;
 use lentillift_scatter::core::Core;
@@ -404,7 +405,7 @@
             query.ended(&mut core, NOON, send.number, Outcome::Part { load: None });
         }
     }
-    assert!(!core.spend(&"s0".into(), NOON));
+    assert!(!core.spend(&"s0".into(), NOON, Purpose::Answer));
 }
 
 /// The server near the host that is asked turns a shard's request away. That host does not repeat it,
@@ -421,3 +422,29 @@
     assert!(again.is_empty());
     assert!(query.tick(&mut core, NOON + MS * 500).is_empty());
 }
+
+/// Both servers of some shards turn most requests away, and the budget is nearly spent. A search that
+/// lacks more shards than its caller accepts gets repeats; one that lacks fewer does not.
+#[test]
+fn a_scarce_budget_saves_answers() {
+    let lacking = |bad: usize| {
+        let (mut core, route) = pairs(20, 0.9);
+        core.options.budget.extra = 8;
+        let story = play(&mut core, route, PATIENCE, |id| {
+            let shard: usize = id[1..].parse().expect("a number");
+            match (id.starts_with('a'), shard < bad) {
+                (true, true) => Way::Rejects(MS),
+                _ => Way::Replies(MS * 10),
+            }
+        });
+        let repeats = story.sent.len() - 20;
+        (story.next, repeats)
+    };
+    // The window's ratio part is earned by the search itself: 0.2 of one request for each shard.
+    let (next, repeats) = lacking(2);
+    assert!(matches!(next, Next::Answer { .. }));
+    assert_eq!(repeats, 2, "four of eight may make answers more complete");
+    let (next, repeats) = lacking(8);
+    assert!(matches!(next, Next::Answer { missing: 0, .. }), "{next:?}");
+    assert_eq!(repeats, 8);
+}
