--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -220,7 +220,7 @@
     Question {
         id: message.id.to_string(),
         method: message.method.to_string(),
-        path: message.path.clone(),
+        path: message.path.to_string(),
         headers: headers.collect(),
         body: message.body.to_vec(),
         authority: authority.to_owned(),
@@ -385,7 +385,7 @@
     }
     Ok(Message {
         method: question.method.parse().map_err(|e| fail(&e))?,
-        path: question.path.clone(),
+        path: question.path.parse().map_err(|e| fail(&e))?,
         headers,
         body: question.body.clone().into(),
         id: question.id.as_str().into(),
--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -70,10 +70,7 @@
 {
     let mut request = Request::new(Full::new(message.body.clone()));
     *request.method_mut() = message.method.clone();
-    let Ok(path) = message.path.parse() else {
-        return Ended::without(Outcome::Unreachable, "path can't be sent");
-    };
-    *request.uri_mut() = path;
+    *request.uri_mut() = message.path.clone();
     *request.headers_mut() = message.headers.clone();
     let backend = &server.entry.id;
     host.dialect.address(request.headers_mut(), backend, left);
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -17,6 +17,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Uri;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -294,10 +295,13 @@
         }
     };
     message::strip(&mut head.headers);
-    let path = head.uri.path_and_query();
+    let path = match head.uri.path_and_query() {
+        Some(path) => Uri::from(path.clone()),
+        None => Uri::from_static("/"),
+    };
     let message = Message {
         method: head.method,
-        path: path.map_or_else(|| "/".to_owned(), ToString::to_string),
+        path,
         headers: head.headers,
         body,
         id: ask.id.unwrap_or_default(),
--- a/crates/lentillift-gateway/src/message.rs
+++ b/crates/lentillift-gateway/src/message.rs
@@ -4,6 +4,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::Method;
+use http::Uri;
 use http::header;
 
 /// A request, without what concerns only the connection it came on.
@@ -12,7 +13,7 @@
     /// The method.
     pub method: Method,
     /// Path and query, as the caller wrote them.
-    pub path: String,
+    pub path: Uri,
     /// Headers that are passed on.
     pub headers: HeaderMap,
     /// The body.
--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -256,9 +256,6 @@
 impl Book {
     /// What is known of `backend`.
     pub fn get(&mut self, backend: &id::Backend) -> &mut Replica {
-        if !self.replicas.contains_key(backend) {
-            self.replicas.insert(backend.clone(), Replica::default());
-        }
         self.replicas.entry(backend.clone()).or_default()
     }
 
@@ -282,10 +279,9 @@
     {
         let mut best: Option<(&std::sync::Arc<Server>, Duration, Time)> = None;
         for server in servers {
-            let Some(expected) = self.expected(around, server) else {
+            let Some((expected, used)) = self.expected(around, server) else {
                 continue;
             };
-            let used = self.get(&server.entry.id).used;
             let better = best
                 .as_ref()
                 .is_none_or(|(_, least, last)| (expected, used) < (*least, *last));
@@ -296,8 +292,8 @@
         best.map(|(server, expected, _)| (server, expected))
     }
 
-    /// Time until a reply of `server`; none if it must not be asked now.
-    fn expected(&mut self, around: &Around<'_>, server: &Server) -> Option<Duration> {
+    /// Time until a reply of `server`, and when it was last used; none if it must not be asked now.
+    fn expected(&mut self, around: &Around<'_>, server: &Server) -> Option<(Duration, Time)> {
         let now = around.now;
         let replica = self.get(&server.entry.id);
         if replica.is_down(now) && !(around.desperate && replica.pending() == 0) {
@@ -318,6 +314,6 @@
         if *server.entry.domain != *around.domain {
             expected += FAR.max(around.typical.mul_f64(FAR_SHARE));
         }
-        Some(expected)
+        Some((expected, replica.used))
     }
 }
