Take nothing for late at an asked host's early word

Cause: a host that is asked tells at once what it declines; the asking host took that for its word on what is here, held the other shards of that host for late and asked for all of them elsewhere (test first: an_early_word_makes_nothing_late).

--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -35,6 +35,8 @@
     domain: id::Domain,
     /// Legs of which nothing was heard.
     legs: Vec<usize>,
+    /// When it should tell for the first time what it has.
+    first: Time,
     /// Whether it has told anything.
     told: bool,
 }
@@ -45,6 +47,7 @@
             host,
             domain: domain.clone(),
             legs,
+            first: Time::ZERO,
             told: false,
         }
     }
--- a/crates/lentillift-scatter/src/query/ended.rs
+++ b/crates/lentillift-scatter/src/query/ended.rs
@@ -136,11 +136,13 @@
             lists.iter().any(|list| list.contains(leg))
         };
         branch.legs.retain(|leg| !told(leg));
-        if !branch.told && !brought.last {
-            // It told of those that took no longer than most do: the others are late.
+        // What it declines it tells at once; only when it was due to tell what it has are the others
+        // late. Taken for late at its first word, whole searches were sent twice.
+        let due = now >= branch.first;
+        if due && !branch.told && !brought.last {
             again.extend(&branch.legs);
         }
-        branch.told = true;
+        branch.told |= due;
         if brought.last {
             core.hosts.ended(&branch.host, now, answered);
         } else {
--- a/crates/lentillift-scatter/src/query/first.rs
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -187,7 +187,7 @@
     }
 
     /// Asks another host for many legs.
-    fn branch(&mut self, core: &mut Core, branch: Branch, now: Time) -> Send {
+    fn branch(&mut self, core: &mut Core, mut branch: Branch, now: Time) -> Send {
         let number = core.number();
         core.hosts.sent(&branch.host, now);
         let target = Target::Host {
@@ -207,6 +207,7 @@
             });
             state.hedge_at = Some(now + patience + BRANCH_TRIP);
         }
+        branch.first = now + patience;
         let legs = branch.legs.clone();
         self.branches.insert(number, branch);
         Send {
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -448,3 +448,36 @@
     assert!(matches!(next, Next::Answer { missing: 0, .. }), "{next:?}");
     assert_eq!(repeats, 8);
 }
+
+/// A host that is asked declines one shard at once, since its server is gone, and works on the others.
+/// Only that one is asked for elsewhere; taken for late, all the others would be sent twice.
+#[test]
+fn an_early_word_makes_nothing_late() {
+    let mut servers = Vec::new();
+    for shard in 0..5 {
+        servers.push(server(&format!("b{shard}"), &format!("s{shard}"), "b"));
+        servers.push(server(&format!("c{shard}"), &format!("s{shard}"), "c"));
+    }
+    let route = route(scatter(5, 1.0), Kind::Idempotent);
+    let mut core = core(view(route.clone(), servers));
+    core.hosts.update([("h".into(), "b".into())]);
+    let view = core.view.clone().expect("a view");
+    let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
+    let plan = Plan::new(&mut core, &Arc::new(route), &view, services, NOON, PATIENCE);
+    let (mut query, first) = Query::start(&mut core, plan, NOON);
+    let brought = Brought {
+        done: Vec::new(),
+        declined: vec![2],
+        failed: Vec::new(),
+        last: false,
+    };
+    let again = query.ended(
+        &mut core,
+        NOON + MS,
+        first[0].number,
+        Outcome::Branch(brought),
+    );
+    assert_eq!(again.len(), 1, "{again:?}");
+    assert_eq!(again[0].legs, [2]);
+    assert!(!again[0].repeat, "nothing had been sent for it");
+}
