Let the margin of an answer follow the callers' round trip

Cause: a margin of 12 ms fits callers 3 ms away; with callers 1 ms away it gave up parts that would have come in time, a quarter of an objective of 50 ms. Change: the time that callers say they spent on a first connection, and 5 ms for our own part.

--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -29,10 +29,8 @@
     pub budget: budget::Options,
     /// Bounds on requests to cold backend servers.
     pub cold: limit::Cold,
-    /// Time before the objective at which an answer has to leave this host to arrive in time.
-    ///
-    /// A round trip to a caller (2 to 6 ms), which covers the way here and back, and as much again
-    /// for a host that is busy.
+    /// Time before the objective at which an answer has to leave this host to arrive in time, beyond
+    /// the way to its caller and back: merging, writing, and a poll of a busy process.
     pub margin: Duration,
     /// Objectives for which a backend server may work on a shard's part.
     ///
@@ -63,7 +61,7 @@
                 factor: 1.0,
                 extra: 0.0,
             },
-            margin: Duration::from_millis(12),
+            margin: Duration::from_millis(5),
             patience: 2,
             hedge_quantile: 0.95,
             hedge_by: 0.35,
@@ -79,6 +77,13 @@
 /// Part of the objective that a reply is held to take before any was seen.
 const FIRST_TYPICAL: f64 = 0.12;
 
+/// Time to callers and back that is assumed before any has told.
+const FIRST_PATH: Duration = Duration::from_millis(7);
+
+/// Quantile of the time that callers spent before their request: the lower ones are those who opened a
+/// connection and nothing else, which takes one round trip.
+const PATH_QUANTILE: f64 = 0.3;
+
 /// Reply times of one route's sends.
 #[derive(Debug, Clone, Copy)]
 pub struct Pace {
@@ -156,6 +161,8 @@
     pub book: Book,
     /// Other hosts.
     pub hosts: Hosts,
+    /// Time from a caller to this host and back.
+    path: Duration,
     /// How late this host's timers fire.
     pub lag: Lag,
     budgets: HashMap<id::Service, Budget>,
@@ -186,6 +193,7 @@
             view: None,
             book: Book::default(),
             hosts: Hosts::default(),
+            path: FIRST_PATH,
             lag: Lag::default(),
             budgets: HashMap::new(),
             patience: HashMap::new(),
@@ -232,10 +240,18 @@
         };
         *most = left.max(*most);
         let spent = most.saturating_sub(left);
-        match spent < route.objective / 2 {
-            true => spent,
-            false => Duration::ZERO,
+        if spent >= route.objective / 2 {
+            return Duration::ZERO;
         }
+        if spent > Duration::ZERO {
+            self.path = step(self.path, spent, PATH_QUANTILE);
+        }
+        spent
+    }
+
+    /// Time from a caller to this host and back, as first connections take it.
+    pub fn path(&self) -> Duration {
+        self.path
     }
 
     /// Notes the first send of a request for a service.
--- a/crates/lentillift-scatter/src/plan.rs
+++ b/crates/lentillift-scatter/src/plan.rs
@@ -45,9 +45,9 @@
         left: Duration,
     ) -> Self {
         let objective = route.objective;
-        let margin = core.options.margin + core.lag.mean();
-        let margin = margin.min(objective / 3);
         let spent = core.spent(route, left);
+        let margin = core.options.margin + core.path() + core.lag.mean();
+        let margin = margin.min(objective / 3);
         let coverage = match &route.target {
             Target::Scatter(scatter) => scatter.coverage,
             Target::Split(_) => 1.0,
