Decline for backend servers that are slow for good

Cause: a host that is asked had one replica near and sent to it however slow it had shown itself, so each search repeated that shard; the budget of the slow shards was gone (unpaid 242 on one search), and searches failed or were late for eight seconds. Ruled out: declining on any sign of trouble, which doubled bytes between failure domains.

--- a/crates/lentillift-scatter/src/query/first.rs
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -29,10 +29,16 @@
         let typical = core.pace(&self.plan.route).typical;
         let view = &self.plan.view;
         let domain = self.plan.near_only.then(|| core.domain.clone());
+        let near = |server: &Server| domain.as_ref().is_none_or(|d| server.entry.domain == *d);
         let legs = self.legs.iter();
         legs.map(|leg| {
-            let may = |server: &Server| domain.as_ref().is_none_or(|d| server.entry.domain == *d);
-            core.choose(view, &leg.service, typical, now, may)
+            let choice = core.choose(view, &leg.service, typical, now, near)?;
+            // Another host asks for this shard and can go elsewhere at once, without a repeat. Sent to a
+            // server that is slow for good, each of its requests would need one, and the budget of that
+            // shard would be gone within a second.
+            let replica = core.book.get(&choice.server.entry.id);
+            let declined = self.plan.near_only && replica.is_slow(now);
+            (!declined).then_some(choice)
         })
         .collect()
     }
--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -53,6 +53,13 @@
 /// Longest pause after a server could not be reached.
 const MOST_BACKOFF: Duration = Duration::from_millis(1600);
 
+/// Slowness from which a server counts as slow: it takes two replies that did not wait through the same
+/// pause.
+const SLOW: f64 = 2.0;
+
+/// Share of failures from which a server counts as failing: two in a row.
+const FAILING: f64 = 0.5;
+
 /// Unanswered or failed requests in a row after which a server is left alone for a while.
 const FAILURES: u32 = 3;
 
@@ -189,6 +196,13 @@
         self.down_until.is_some_and(|until| now < until)
     }
 
+    /// Whether replies have shown lately that the server is slow or fails, beyond a pause or a queue.
+    pub fn is_slow(&self, now: Time) -> bool {
+        let memory = self.memory(now);
+        let excess = (self.slowness - 1.0) * memory;
+        excess >= SLOW - 1.0 || self.failing * memory >= FAILING
+    }
+
     /// Sends without a reply.
     pub fn pending(&self) -> usize {
         self.pending.len()
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -15,6 +15,7 @@
 use lentillift_scatter::config::Kind;
 use lentillift_scatter::config::Route;
 use lentillift_scatter::core::Core;
+use lentillift_scatter::leg::State;
 use lentillift_scatter::leg::Target;
 use lentillift_scatter::outcome::Brought;
 use lentillift_scatter::outcome::Next;
@@ -481,3 +482,27 @@
     assert_eq!(again[0].legs, [2]);
     assert!(!again[0].repeat, "nothing had been sent for it");
 }
+
+/// The server near the host that is asked is slow for good, and that host knows. Sent there, each
+/// request would have to be repeated by the asking host, and the budget would soon be gone.
+#[test]
+fn a_host_that_is_asked_declines_for_a_slow_server() {
+    let (mut core, route) = pairs(1, 1.0);
+    let view = core.view.clone().expect("a view");
+    let route = Arc::new(route);
+    let typical = core.pace(&route).typical;
+    let mut now = NOON;
+    for _ in 0..4 {
+        let plan = Plan::branch(&route, &view, vec!["s0".into()], now, now + PATIENCE);
+        let (mut query, sends) = Query::start(&mut core, plan, now);
+        let Some(send) = sends.first() else {
+            let state = query.states().next();
+            assert_eq!(state, Some(State::Declined));
+            return;
+        };
+        now += typical * 8;
+        let part = Outcome::Part { load: None };
+        query.ended(&mut core, now, send.number, part);
+    }
+    panic!("sent to a slow server again and again");
+}
