--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -68,6 +68,8 @@
     pub regions: BTreeMap<id::Domain, id::Region>,
     /// Where callers connect.
     pub front: SocketAddr,
+    /// Connections of callers at a time.
+    pub callers: usize,
     /// Where the balancer asks whether callers should be sent here.
     pub ready: SocketAddr,
     /// Where other hosts connect, by TCP and UDP.
@@ -138,7 +140,7 @@
     tokio::task::spawn_local(feed::follow(host.clone()));
     tokio::task::spawn_local(keep_house(host.clone(), socket.clone()));
     tokio::task::spawn_local(watch_settings(host.clone(), reload));
-    tokio::task::spawn_local(front::serve(host.clone(), front));
+    tokio::task::spawn_local(front::serve(host.clone(), front, settings.callers));
     let mut term =
         signal(SignalKind::terminate()).map_err(|e| Error::new(Step::Listen, "signals", e))?;
     term.recv().await;
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -36,11 +36,14 @@
 use lentillift_scatter::record;
 use lentillift_scatter::view::View;
 use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tracing::info;
 use twox_hash::XxHash64;
 
@@ -61,26 +64,31 @@
 /// Least buffer that the HTTP library takes, in bytes.
 const LEAST_BUFFER: usize = 8192;
 
-/// Serves callers until the process is over.
-pub async fn serve<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
+/// Serves callers until the process is over, at most `most` connections at a time.
+///
+/// Without the bound, callers' connections could take all file descriptors, and no backend server or
+/// other host could be reached any more. What comes beyond waits in the listener's queue.
+pub async fn serve<D, S>(host: Rc<Host<D, S>>, listener: TcpListener, most: usize)
 where
     D: Dialect,
     S: Source,
 {
     let mut stage = host.stage.subscribe();
+    let places = Arc::new(Semaphore::new(most));
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, &places) => accepted,
             _ = stage.wait_for(|stage| *stage >= Stage::Closing) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, place)) => {
                 host.board.count(metric::CALLERS, "taken");
                 let host = host.clone();
                 tokio::task::spawn_local(async move {
                     host.callers.set(host.callers.get() + 1);
                     connection(host.clone(), stream).await;
                     host.callers.set(host.callers.get() - 1);
+                    drop(place);
                 });
             }
             Err(error) => {
@@ -91,6 +99,17 @@
     }
 }
 
+/// Accepts a connection once there is a place for it.
+async fn accept(
+    listener: &TcpListener,
+    places: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let place = places.clone().acquire_owned().await;
+    let place = place.map_err(io::Error::other)?;
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, place))
+}
+
 fn limits<D, S>(host: &Host<D, S>) -> Limits {
     let core = host.core.borrow();
     core.view.as_ref().map_or(FIRST_LIMITS, |v| v.config.limits)
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -176,6 +176,9 @@
     Config::new(1, routes, services, limits)
 }
 
+/// Connections of callers at a time.
+pub const MOST_CALLERS: usize = 3;
+
 pub type Shared = Rc<Host<Plain, Memory>>;
 
 /// A process's host named `name` in `domain`, whose other hosts listen at `node`.
@@ -186,6 +189,7 @@
         domain: domain.into(),
         regions: BTreeMap::from([("a".into(), "r".into()), ("b".into(), "r".into())]),
         front: unused,
+        callers: MOST_CALLERS,
         ready: unused,
         node,
         metrics: None,
@@ -226,7 +230,7 @@
     if !items.is_empty() {
         host.learn(Some(News::All { revision: 1, items }), Duration::ZERO);
     }
-    tokio::task::spawn_local(front::serve(host.clone(), listener));
+    tokio::task::spawn_local(front::serve(host.clone(), listener, MOST_CALLERS));
     Served { host, front }
 }
 
--- a/crates/lentillift-gateway/tests/front.rs
+++ b/crates/lentillift-gateway/tests/front.rs
@@ -273,3 +273,27 @@
         assert!(rest.is_empty());
     });
 }
+
+/// More callers connect than the process may hold connections for. Those beyond wait; once one leaves,
+/// the next is served.
+#[test]
+fn callers_beyond_the_limit_wait() {
+    run(async {
+        let server = backend(vec![reply("yes")]).await;
+        let served = serve(singles(&[server.address])).await;
+        let mut held = Vec::new();
+        for n in 0..common::MOST_CALLERS {
+            let mut caller = TcpStream::connect(served.front).await.expect("connected");
+            let request = get("/one/x", &format!("i{n}"));
+            caller.write_all(request.as_bytes()).await.expect("written");
+            read_message(&mut caller).await.expect("an answer");
+            held.push(caller);
+        }
+        let next = ask(served.front, &get("/one/x", "next"));
+        let mut next = std::pin::pin!(next);
+        let early = tokio::time::timeout(Duration::from_millis(100), next.as_mut()).await;
+        assert!(early.is_err(), "served beyond the limit: {early:?}");
+        held.pop();
+        assert_eq!(status(&next.await), 200);
+    });
+}
--- a/crates/lentillift-gateway/tests/hosts.rs
+++ b/crates/lentillift-gateway/tests/hosts.rs
@@ -56,7 +56,7 @@
 
 async fn front(host: &Shared) -> SocketAddr {
     let (listener, address) = listener().await;
-    tokio::task::spawn_local(front::serve(host.clone(), listener));
+    tokio::task::spawn_local(front::serve(host.clone(), listener, common::MOST_CALLERS));
     address
 }
 
