--- a/crates/lentillift-gateway/tests/front.rs
+++ b/crates/lentillift-gateway/tests/front.rs
@@ -289,8 +289,8 @@
             read_message(&mut caller).await.expect("an answer");
             held.push(caller);
         }
-        let next = ask(served.front, &get("/one/x", "next"));
-        let mut next = std::pin::pin!(next);
+        let request = get("/one/x", "next");
+        let mut next = std::pin::pin!(ask(served.front, &request));
         let early = tokio::time::timeout(Duration::from_millis(100), next.as_mut()).await;
         assert!(early.is_err(), "served beyond the limit: {early:?}");
         held.pop();
