--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -261,6 +261,7 @@
                 all.any(|server| server.entry.id == *id)
             };
             host.pool.sweep(known);
+            host.peers.sweep();
             if !serving {
                 serving = true;
                 info!(
--- a/crates/lentillift-gateway/src/peer.rs
+++ b/crates/lentillift-gateway/src/peer.rs
@@ -64,6 +64,12 @@
         Ok(sender)
     }
 
+    /// Forgets connections that have ended, such as those to hosts that were replaced.
+    pub fn sweep(&self) {
+        let mut open = self.open.borrow_mut();
+        open.retain(|_, sender| !sender.is_closed());
+    }
+
     /// Gives up the connection to `address`, so that the next request opens a new one.
     ///
     /// A connection can go silent for good without a reset while new ones work.
--- a/crates/lentillift-scatter/src/catalog.rs
+++ b/crates/lentillift-scatter/src/catalog.rs
@@ -61,6 +61,9 @@
 /// Removed keys whose revision is remembered, so that older news of them is not taken in.
 const REMOVED: usize = 4096;
 
+/// Backend servers whose latest start is remembered before those that are gone are forgotten.
+const STARTS: usize = 20_000;
+
 /// An item that is believed to be published.
 #[derive(Debug, Clone)]
 struct Held {
@@ -291,6 +294,11 @@
     pub fn expire(&mut self, now: Time) -> bool {
         let before = self.lapsed.len();
         self.lapsed.retain(|_, (_, until)| *until > now);
+        if self.born.len() > STARTS {
+            let held = self.held.values().filter_map(|held| held.server.as_ref());
+            let held: BTreeSet<id::Backend> = held.map(|s| s.entry.id.clone()).collect();
+            self.born.retain(|backend, _| held.contains(backend));
+        }
         self.lapsed.len() != before
     }
 
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -19,6 +19,7 @@
 use lentillift_core::time::Time;
 use lentillift_fleet::rendezvous;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -205,11 +206,14 @@
     /// Serves requests that arrive from now on by `view`.
     pub fn adopt(&mut self, view: View) {
         let servers = view.servers.values().flatten();
-        let known: std::collections::HashSet<_> = servers.map(|s| s.entry.id.clone()).collect();
+        let known: HashSet<_> = servers.map(|s| s.entry.id.clone()).collect();
         self.book.retain(|backend| known.contains(backend));
         self.budgets.retain(|service, _| {
             view.config.services.contains_key(service) || view.servers.contains_key(service)
         });
+        let routes: HashSet<Arc<str>> = view.config.routes().map(|r| r.name.clone()).collect();
+        self.paces.retain(|route, _| routes.contains(route));
+        self.patience.retain(|route, _| routes.contains(route));
         self.view = Some(Arc::new(view));
     }
 
--- a/crates/lentillift-scatter/src/query/first.rs
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -82,12 +82,17 @@
         groups
     }
 
+    /// The leg's backend servers that take work.
     fn servers<'a>(&self, core: &'a Core, leg: usize) -> impl Iterator<Item = &'a Arc<Server>> {
         let service = &self.legs[leg].service;
-        let view = core.view.as_ref();
-        view.and_then(|view| view.servers.get(service))
-            .into_iter()
-            .flatten()
+        let usable = core.view.as_ref().and_then(|view| {
+            let servers = view.servers.get(service)?.iter();
+            Some(servers.filter(|server| {
+                let out = view.evacuated.contains(&server.entry.domain);
+                !out && server.last_resort_until.is_none()
+            }))
+        });
+        usable.into_iter().flatten()
     }
 
     /// Legs with a replica here that are too many for one host, by the hosts that share them.
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -506,3 +506,28 @@
     }
     panic!("sent to a slow server again and again");
 }
+
+/// A failure domain is taken out of service. Shards that have no replica here are asked for through a host
+/// of another one; the host in the domain that is out would only decline.
+#[test]
+fn hosts_of_an_evacuated_domain_are_not_asked() {
+    let mut servers = Vec::new();
+    for shard in 0..5 {
+        servers.push(server(&format!("b{shard}"), &format!("s{shard}"), "b"));
+        servers.push(server(&format!("c{shard}"), &format!("s{shard}"), "c"));
+    }
+    let route = route(scatter(5, 1.0), Kind::Idempotent);
+    let mut latest = view(route.clone(), servers);
+    latest.evacuated.insert("b".into());
+    let mut core = core(latest);
+    core.hosts
+        .update([("hb".into(), "b".into()), ("hc".into(), "c".into())]);
+    let view = core.view.clone().expect("a view");
+    let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
+    let plan = Plan::new(&mut core, &Arc::new(route), &view, services, NOON, PATIENCE);
+    let (_, sends) = Query::start(&mut core, plan, NOON);
+    let [send] = sends.as_slice() else {
+        panic!("one send: {sends:?}");
+    };
+    assert!(matches!(&send.target, Target::Host { host, .. } if &**host == "hc"));
+}
