--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -172,7 +172,6 @@
     };
     let share = Share {
         hosts: 1,
-        near_hosts: 1,
         started: now,
     };
     let tuning = settings.tuning.clone();
--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -19,7 +19,6 @@
 use http_body_util::Full;
 use lentillift_scatter::config::Kind;
 use lentillift_scatter::outcome::Outcome;
-use lentillift_scatter::replica::Load;
 use lentillift_scatter::server::Server;
 use std::time::Duration;
 
@@ -145,11 +144,3 @@
         _ => Worth::Failure,
     }
 }
-
-/// What the load of a reply was, for the log.
-pub fn load(outcome: &Outcome) -> Option<Load> {
-    match outcome {
-        Outcome::Part { load } | Outcome::Failure { load } | Outcome::Rejected { load } => *load,
-        _ => None,
-    }
-}
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -150,14 +150,8 @@
     pub fn count_hosts(&self) {
         let swim = self.swim.borrow();
         let mut core = self.core.borrow_mut();
-        let present = swim.present();
-        let (mut hosts, mut near_hosts) = (0, 0);
-        for member in present {
-            hosts += 1;
-            near_hosts += u32::from(member.domain == self.domain);
-        }
+        let hosts = swim.present().count() as u32;
         core.share.hosts = hosts;
-        core.share.near_hosts = near_hosts;
         let serving = swim.serving();
         core.hosts
             .update(serving.map(|m| (m.host.clone(), m.domain.clone())));
--- a/crates/lentillift-gateway/tests/front.rs
+++ b/crates/lentillift-gateway/tests/front.rs
@@ -297,3 +297,19 @@
         assert_eq!(status(&next.await), 200);
     });
 }
+
+/// A caller sends its second request before it has the first answer. Both are answered, in their order.
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    run(async {
+        let server = backend(vec![reply("first"), reply("second")]).await;
+        let served = serve(singles(&[server.address])).await;
+        let mut caller = TcpStream::connect(served.front).await.expect("connected");
+        let both = get("/one/x", "i1") + &get("/one/x", "i2");
+        caller.write_all(both.as_bytes()).await.expect("written");
+        for body in ["first", "second"] {
+            let answer = read_message(&mut caller).await.expect("an answer");
+            assert!(answer.ends_with(body), "{answer}");
+        }
+    });
+}
--- a/crates/lentillift-scatter/src/share.rs
+++ b/crates/lentillift-scatter/src/share.rs
@@ -15,8 +15,6 @@
 pub struct Share {
     /// Hosts of the fleet, this one included.
     pub hosts: u32,
-    /// Hosts of this failure domain, this one included.
-    pub near_hosts: u32,
     /// When this process started.
     pub started: Time,
 }
--- a/crates/lentillift-scatter/tests/budgets.rs
+++ b/crates/lentillift-scatter/tests/budgets.rs
@@ -15,11 +15,7 @@
 };
 
 fn share(hosts: u32, started: Time) -> Share {
-    Share {
-        hosts,
-        near_hosts: 1,
-        started,
-    }
+    Share { hosts, started }
 }
 
 /// One thing that happens at one host.
--- a/crates/lentillift-scatter/tests/common/mod.rs
+++ b/crates/lentillift-scatter/tests/common/mod.rs
@@ -132,7 +132,6 @@
 pub fn core(view: View) -> Core {
     let share = Share {
         hosts: 1,
-        near_hosts: 1,
         started: Time::ZERO,
     };
     let mut core = Core::new(options(), "me".into(), "a".into(), share);
--- a/crates/lentillift-scatter/tests/limits.rs
+++ b/crates/lentillift-scatter/tests/limits.rs
@@ -12,7 +12,6 @@
 fn share(hosts: u32) -> Share {
     Share {
         hosts,
-        near_hosts: 1,
         started: Time::ZERO,
     }
 }
