--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -389,5 +389,11 @@
 {
     let runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = { runtime }.enable_all().build().expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
+    // A test that waits for what never comes should say so; nothing is measured by it.
+    let bounded = async { tokio::time::timeout(LONGEST, test).await };
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, bounded);
+    assert!(ended.is_ok(), "waited in vain");
 }
+
+/// Longest time of a test, many times what any takes.
+const LONGEST: Duration = Duration::from_secs(120);
