--- /dev/null
+++ b/crates/lentillift-gateway/src/ending.rs
@@ -0,0 +1,49 @@
+//! How a request ended, for the log.
+
+use crate::part::Done;
+use http::StatusCode;
+use lentillift_scatter::config::Route;
+use lentillift_scatter::config::Version;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::info;
+
+/// How a request ended and what decided it, for the log.
+pub(crate) struct Ending {
+    pub(crate) id: Box<str>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) outcome: &'static str,
+    pub(crate) status: StatusCode,
+    pub(crate) late: bool,
+    pub(crate) took: Duration,
+    pub(crate) left: Duration,
+    pub(crate) config: Version,
+    pub(crate) age: Duration,
+    pub(crate) done: Done,
+}
+
+impl Ending {
+    /// Puts it into the log.
+    pub(crate) fn tell(&self) {
+        let missing = self.done.missing.iter().map(|service| &**service);
+        let missing: Vec<&str> = missing.collect();
+        info!(
+            event = "request",
+            id = %self.id,
+            route = %self.route.name,
+            outcome = self.outcome,
+            status = self.status.as_u16(),
+            late = self.late,
+            took_ms = self.took.as_millis() as u64,
+            left_ms = self.left.as_millis() as u64,
+            objective_ms = self.route.objective.as_millis() as u64,
+            config = self.config,
+            age_ms = self.age.as_millis() as u64,
+            repeats = self.done.repeats,
+            unpaid = self.done.unpaid,
+            missing = missing.join(" "),
+            notes = self.done.notes,
+            "answered"
+        );
+    }
+}
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -6,10 +6,10 @@
 use crate::host::Host;
 use crate::host::Stage;
 use crate::metric;
+use crate::notice::Frame;
+use crate::notice::Notice;
 use crate::source::Source;
 use crate::source::Watched;
-use bincode::Decode;
-use bincode::Encode;
 use bytes::Bytes;
 use futures_util::stream;
 use http::Request;
@@ -22,7 +22,6 @@
 use lentillift_fleet::follow;
 use lentillift_fleet::follow::Candidate;
 use lentillift_fleet::follow::Origin;
-use lentillift_scatter::source::Item;
 use lentillift_scatter::source::News;
 use rand::Rng;
 use std::rc::Rc;
@@ -103,69 +102,6 @@
 /// one takes to join and to read everything.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-/// One message to a follower, as it stands on the wire.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-struct Frame {
-    /// Age of the sender's knowledge; none if it has none.
-    age_ms: Option<u32>,
-    /// Whether the sender reaches its origin, as far as it knows.
-    steady: bool,
-    news: Option<Notice>,
-}
-
-/// See [`News`].
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-enum Notice {
-    All(u64, Vec<Entry>),
-    Changes(u64, Vec<Entry>),
-}
-
-/// See [`Item`].
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-struct Entry(String, u64, Option<Vec<u8>>);
-
-impl From<Item> for Entry {
-    fn from(item: Item) -> Self {
-        Self(item.key, item.revision, item.value)
-    }
-}
-
-impl From<Entry> for Item {
-    fn from(entry: Entry) -> Self {
-        Self {
-            key: entry.0,
-            revision: entry.1,
-            value: entry.2,
-        }
-    }
-}
-
-impl From<News> for Notice {
-    fn from(news: News) -> Self {
-        let entries = |items: Vec<Item>| items.into_iter().map(Entry::from).collect();
-        match news {
-            News::All { revision, items } => Self::All(revision, entries(items)),
-            News::Changes { revision, items } => Self::Changes(revision, entries(items)),
-        }
-    }
-}
-
-impl From<Notice> for News {
-    fn from(notice: Notice) -> Self {
-        let items = |entries: Vec<Entry>| entries.into_iter().map(Item::from).collect();
-        match notice {
-            Notice::All(revision, entries) => Self::All {
-                revision,
-                items: items(entries),
-            },
-            Notice::Changes(revision, entries) => Self::Changes {
-                revision,
-                items: items(entries),
-            },
-        }
-    }
-}
-
 /// Why an origin is left.
 enum Left {
     /// It failed, or its knowledge is old.
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Ask;
 use crate::dialect::Dialect;
+use crate::ending::Ending;
 use crate::host::Host;
 use crate::host::Stage;
 use crate::message;
@@ -30,7 +31,6 @@
 use lentillift_scatter::config::Limits;
 use lentillift_scatter::config::Route;
 use lentillift_scatter::config::Target;
-use lentillift_scatter::config::Version;
 use lentillift_scatter::outcome::Next;
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::record;
@@ -224,45 +224,6 @@
     response
 }
 
-/// How a request ended and what decided it, for the log.
-struct Ending {
-    id: Box<str>,
-    route: Arc<Route>,
-    outcome: &'static str,
-    status: StatusCode,
-    late: bool,
-    took: Duration,
-    left: Duration,
-    config: Version,
-    age: Duration,
-    done: Done,
-}
-
-impl Ending {
-    fn tell(&self) {
-        let missing = self.done.missing.iter().map(|service| &**service);
-        let missing: Vec<&str> = missing.collect();
-        info!(
-            event = "request",
-            id = %self.id,
-            route = %self.route.name,
-            outcome = self.outcome,
-            status = self.status.as_u16(),
-            late = self.late,
-            took_ms = self.took.as_millis() as u64,
-            left_ms = self.left.as_millis() as u64,
-            objective_ms = self.route.objective.as_millis() as u64,
-            config = self.config,
-            age_ms = self.age.as_millis() as u64,
-            repeats = self.done.repeats,
-            unpaid = self.done.unpaid,
-            missing = missing.join(" "),
-            notes = self.done.notes,
-            "answered"
-        );
-    }
-}
-
 /// One in this many ordinary requests is logged, chosen by its id, so that all hosts that had a part
 /// in it keep it.
 const SAMPLE: u64 = 64;
--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod branch;
 pub mod daemon;
 pub mod dialect;
+mod ending;
 pub mod exchange;
 pub mod feed;
 mod flight;
@@ -24,6 +25,7 @@
 pub mod member;
 pub mod message;
 pub mod metric;
+mod notice;
 pub mod part;
 pub mod peer;
 pub mod pool;
