Read the change once more: one accept loop, one fleet of test replicas

Both of a host's plain listeners had the same loop around accept, which passed a failed accept over without a line in the log; it stands once now and logs it.

--- a/crates/lentillift-gateway/src/listen.rs
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -39,6 +39,19 @@
 /// Largest message of another host, in bytes.
 const MOST_BYTES: usize = 4 * 1024 * 1024;
 
+/// The next connection; a failed `accept` is tried again after a pause.
+async fn accepted(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                warn!(event = "accept", %error, "failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Tells the balancer and operators how this process is.
 pub async fn plain<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
 where
@@ -46,10 +59,7 @@
     S: Source,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accepted(&listener).await;
         let host = host.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
@@ -89,10 +99,7 @@
     S: Source,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accepted(&listener).await;
         tokio::task::spawn_local(node(host.clone(), stream));
     }
 }
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -10,6 +10,7 @@
 use common::server;
 use common::single;
 use common::view;
+use lentillift_core::id::Service;
 use lentillift_core::time::Time;
 use lentillift_scatter::budget::Purpose;
 use lentillift_scatter::config::Kind;
@@ -23,6 +24,7 @@
 use lentillift_scatter::outcome::Send;
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::query::Query;
+use lentillift_scatter::server::Server;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -130,6 +132,19 @@
     (core(view(route.clone(), servers)), route)
 }
 
+/// Two replicas of each shard, in failure domains `b` and `c`; none near this host.
+fn far_pairs(shards: usize) -> Vec<Arc<Server>> {
+    let replicas = |shard| {
+        ["b", "c"].map(|domain| server(&format!("{domain}{shard}"), &format!("s{shard}"), domain))
+    };
+    (0..shards).flat_map(replicas).collect()
+}
+
+/// The services of so many shards.
+fn names(shards: usize) -> Vec<Service> {
+    (0..shards).map(|n| format!("s{n}").into()).collect()
+}
+
 /// `count` backend servers of one service.
 fn pool(count: usize, kind: Kind) -> (Core, Route) {
     let servers = (0..count)
@@ -285,16 +300,12 @@
 /// the missing one is asked for directly at the other replica, and no third server ever runs it.
 #[test]
 fn a_late_shard_of_another_host_is_asked_for_directly() {
-    let mut servers = Vec::new();
-    for shard in 0..5 {
-        servers.push(server(&format!("b{shard}"), &format!("s{shard}"), "b"));
-        servers.push(server(&format!("c{shard}"), &format!("s{shard}"), "c"));
-    }
+    let servers = far_pairs(5);
     let route = route(scatter(5, 1.0), Kind::Idempotent);
     let mut core = core(view(route.clone(), servers));
     core.hosts.update([("h".into(), "b".into())]);
     let view = core.view.clone().expect("a view");
-    let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
+    let services = names(5);
     let plan = Plan::new(&mut core, &Arc::new(route), &view, services, NOON, PATIENCE);
     let (mut query, first) = Query::start(&mut core, plan, NOON);
     let [send] = first.as_slice() else {
@@ -338,7 +349,7 @@
     let mut core = core(view(route.clone(), servers.collect()));
     core.hosts.update([("h".into(), "b".into())]);
     let view = core.view.clone().expect("a view");
-    let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
+    let services = names(5);
     let plan = Plan::new(&mut core, &Arc::new(route), &view, services, NOON, PATIENCE);
     let (mut query, first) = Query::start(&mut core, plan.clone(), NOON);
     let number = first[0].number;
@@ -396,7 +407,7 @@
     let (mut core, route) = pairs(20, 1.0);
     core.options.budget.extra = 0;
     let view = core.view.clone().expect("a view");
-    let services: Vec<_> = (0..20).map(|n| format!("s{n}").into()).collect();
+    let services = names(20);
     let deadline = NOON + PATIENCE;
     let plan = Plan::branch(&Arc::new(route), &view, services, NOON, deadline);
     for _ in 0..20 {
@@ -454,16 +465,12 @@
 /// Only that one is asked for elsewhere; taken for late, all the others would be sent twice.
 #[test]
 fn an_early_word_makes_nothing_late() {
-    let mut servers = Vec::new();
-    for shard in 0..5 {
-        servers.push(server(&format!("b{shard}"), &format!("s{shard}"), "b"));
-        servers.push(server(&format!("c{shard}"), &format!("s{shard}"), "c"));
-    }
+    let servers = far_pairs(5);
     let route = route(scatter(5, 1.0), Kind::Idempotent);
     let mut core = core(view(route.clone(), servers));
     core.hosts.update([("h".into(), "b".into())]);
     let view = core.view.clone().expect("a view");
-    let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
+    let services = names(5);
     let plan = Plan::new(&mut core, &Arc::new(route), &view, services, NOON, PATIENCE);
     let (mut query, first) = Query::start(&mut core, plan, NOON);
     let brought = Brought {
@@ -511,11 +518,7 @@
 /// of another one; the host in the domain that is out would only decline.
 #[test]
 fn hosts_of_an_evacuated_domain_are_not_asked() {
-    let mut servers = Vec::new();
-    for shard in 0..5 {
-        servers.push(server(&format!("b{shard}"), &format!("s{shard}"), "b"));
-        servers.push(server(&format!("c{shard}"), &format!("s{shard}"), "c"));
-    }
+    let servers = far_pairs(5);
     let route = route(scatter(5, 1.0), Kind::Idempotent);
     let mut latest = view(route.clone(), servers);
     latest.evacuated.insert("b".into());
@@ -523,7 +526,7 @@
     core.hosts
         .update([("hb".into(), "b".into()), ("hc".into(), "c".into())]);
     let view = core.view.clone().expect("a view");
-    let services: Vec<_> = (0..5).map(|n| format!("s{n}").into()).collect();
+    let services = names(5);
     let plan = Plan::new(&mut core, &Arc::new(route), &view, services, NOON, PATIENCE);
     let (_, sends) = Query::start(&mut core, plan, NOON);
     let [send] = sends.as_slice() else {
