Learn the way between hosts from their answers

Cause: a search over 90 shards asks up to seven hosts, and a part counts as late 8 ms after its host was due to tell.

Quantile steps have a module of their own, used by three estimates.

Conclusion: kept for the budget that it saves; alone it does not help while servers are slow.

--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -7,6 +7,7 @@
 use crate::config::Route;
 use crate::host::Hosts;
 use crate::limit;
+use crate::quantile;
 use crate::replica::Around;
 use crate::replica::Book;
 use crate::replica::Load;
@@ -72,9 +73,6 @@
     }
 }
 
-/// Step by which an estimate of a quantile moves; a hundred replies settle it.
-const STEP: f64 = 0.04;
-
 /// Part of the objective that a reply is held to take before any was seen.
 const FIRST_TYPICAL: f64 = 0.12;
 
@@ -105,19 +103,11 @@
 
     /// Takes in a reply time, moving each quantile by a step for its side.
     fn note(&mut self, took: Duration, quantile: f64) {
-        self.typical = step(self.typical, took, 0.5);
-        self.late = step(self.late, took, quantile).max(self.typical);
+        self.typical = quantile::step(self.typical, took, 0.5);
+        self.late = quantile::step(self.late, took, quantile).max(self.typical);
     }
 }
 
-fn step(estimate: Duration, sample: Duration, quantile: f64) -> Duration {
-    let factor = match sample > estimate {
-        true => 1.0 + STEP * quantile,
-        false => 1.0 - STEP * (1.0 - quantile),
-    };
-    estimate.mul_f64(factor).max(Duration::from_micros(200))
-}
-
 /// Weight of one timer in the estimate of how late they fire.
 const LAG_WEIGHT: f64 = 0.05;
 
@@ -248,7 +238,7 @@
             return Duration::ZERO;
         }
         if spent > Duration::ZERO {
-            self.path = step(self.path, spent, PATH_QUANTILE);
+            self.path = quantile::step(self.path, spent, PATH_QUANTILE);
         }
         spent
     }
--- a/crates/lentillift-scatter/src/host.rs
+++ b/crates/lentillift-scatter/src/host.rs
@@ -4,6 +4,7 @@
 //! A host that was late once is left alone for a while, and its failure domain is asked through
 //! another; without this module each search would have to find out by itself.
 
+use crate::quantile;
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_fleet::rendezvous;
@@ -13,6 +14,16 @@
 /// How long a host that was late is left alone: as long as a freeze or a restart lasts.
 const DOUBT: Duration = Duration::from_secs(2);
 
+/// Time that the way to another host and back takes, with its work, before any has answered: two round
+/// trips within a region, and as much again for a host that is busy.
+const FIRST_TRIP: Duration = Duration::from_millis(8);
+
+/// Part of the answers that come within the time that is allowed for the way.
+///
+/// A search has three to seven answers, so one of them may be asked for again in vain, and a
+/// host that stands still is noticed within a few milliseconds of the usual time.
+const TRIP_QUANTILE: f64 = 0.9;
+
 /// One of the parts into which the shards of a search are divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Bucket {
@@ -40,9 +51,20 @@
 }
 
 /// The other hosts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Hosts {
     known: BTreeMap<id::Host, Host>,
+    /// Time that the way to a host and back takes, with its work.
+    trip: Duration,
+}
+
+impl Default for Hosts {
+    fn default() -> Self {
+        Self {
+            known: BTreeMap::new(),
+            trip: FIRST_TRIP,
+        }
+    }
 }
 
 impl Hosts {
@@ -108,6 +130,16 @@
         }
     }
 
+    /// Notes an answer that came `late` after the moment at which it was due to be sent.
+    pub fn arrived(&mut self, late: Duration) {
+        self.trip = quantile::step(self.trip, late, TRIP_QUANTILE);
+    }
+
+    /// Time after which an answer that was due to be sent is missed.
+    pub fn trip(&self) -> Duration {
+        self.trip
+    }
+
     /// Leaves a host alone for a while.
     pub fn doubt(&mut self, name: &str, now: Time) {
         if let Some(host) = self.known.get_mut(name) {
--- a/crates/lentillift-scatter/src/lib.rs
+++ b/crates/lentillift-scatter/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod limit;
 pub mod outcome;
 pub mod plan;
+pub mod quantile;
 pub mod query;
 pub mod record;
 pub mod replica;
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -51,6 +51,14 @@
             told: false,
         }
     }
+
+    /// Notes how long its first word took, if it was told when it was due rather than as soon as all
+    /// was there.
+    fn arrived(&self, core: &mut Core, now: Time) {
+        if !self.told && now >= self.first {
+            core.hosts.arrived(now.saturating_sub(self.first));
+        }
+    }
 }
 
 /// One request.
--- a/crates/lentillift-scatter/src/query/ended.rs
+++ b/crates/lentillift-scatter/src/query/ended.rs
@@ -106,6 +106,9 @@
                 last: true,
             },
         };
+        if !brought.done.is_empty() {
+            branch.arrived(core, now);
+        }
         let answered = branch.told || !brought.done.is_empty();
         let mut again = Vec::new();
         for leg in &brought.done {
@@ -160,10 +163,12 @@
         for leg in &mut self.legs {
             leg.hedge_at = None;
         }
-        if let Some(branch) = self.branches.remove(&number) {
+        if let Some(mut branch) = self.branches.remove(&number) {
             let answered = matches!(outcome, Outcome::Branch(_));
             match &outcome {
                 Outcome::Branch(brought) if !brought.last => {
+                    branch.arrived(core, now);
+                    branch.told |= now >= branch.first;
                     self.branches.insert(number, branch);
                 }
                 _ => core.hosts.ended(&branch.host, now, answered),
--- a/crates/lentillift-scatter/src/query/first.rs
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -20,9 +20,11 @@
 /// Fewest shards for which another host is asked; below, its reply is no smaller than theirs.
 const LEAST_BRANCH: usize = 3;
 
-/// Time that the way to another host and back takes, with its work: two round trips within a region,
-/// and as much again for a host that is busy.
-const BRANCH_TRIP: Duration = Duration::from_millis(8);
+/// Largest part of the objective that is allowed for the way to another host and back.
+///
+/// With [`hedge_by`](crate::core::Options::hedge_by) before it, two fifths of the objective are left
+/// for another replica's reply.
+const MOST_TRIP: f64 = 0.25;
 
 impl Query {
     pub(super) fn choices(&self, core: &mut Core, now: Time) -> Vec<Option<Choice>> {
@@ -206,6 +208,8 @@
             domain: branch.domain.clone(),
         };
         let patience = self.patience(core).unwrap_or_default();
+        let most = self.plan.route.objective.mul_f64(MOST_TRIP);
+        let trip = core.hosts.trip().min(most);
         for leg in &branch.legs {
             self.earn(core, *leg, now);
             let state = &mut self.legs[*leg];
@@ -216,7 +220,7 @@
                 sent: now,
                 repeat: false,
             });
-            state.hedge_at = Some(now + patience + BRANCH_TRIP);
+            state.hedge_at = Some(now + patience + trip);
         }
         branch.first = now + patience;
         let legs = branch.legs.clone();
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -461,6 +461,47 @@
     assert_eq!(repeats, 8);
 }
 
+/// All hosts have a small share of a processor, and their answers come fifteen milliseconds after they
+/// are due, each time. Held for late, every part of every search is asked for twice, and the budget is
+/// gone when a backend server is slow.
+#[test]
+fn hosts_that_always_take_longer_are_waited_for() {
+    let route = Arc::new(route(scatter(5, 1.0), Kind::Idempotent));
+    let mut core = core(view((*route).clone(), far_pairs(5)));
+    core.hosts.update([("h".into(), "b".into())]);
+    let view = core.view.clone().expect("a view");
+    let mut now = NOON;
+    let mut last = usize::MAX;
+    for _ in 0..40 {
+        // Long after the host was last held for late, so that it is asked again.
+        now += Duration::from_secs(3);
+        let plan = Plan::new(&mut core, &route, &view, names(5), now, PATIENCE);
+        let (mut query, first) = Query::start(&mut core, plan, now);
+        let [send] = first.as_slice() else {
+            panic!("one send: {first:?}");
+        };
+        let arrival = now + send.first + MS * 15;
+        let mut again = 0;
+        while let Next::Wait(due) = query.next(now)
+            && due < arrival
+        {
+            now = due;
+            again += query.tick(&mut core, now).len();
+        }
+        now = arrival;
+        let brought = Brought {
+            done: vec![0, 1, 2, 3, 4],
+            declined: Vec::new(),
+            failed: Vec::new(),
+            last: true,
+        };
+        query.ended(&mut core, now, send.number, Outcome::Branch(brought));
+        query.abandon(&mut core, now);
+        last = again;
+    }
+    assert_eq!(last, 0, "asked again before the host's usual time");
+}
+
 /// A host that is asked declines one shard at once, since its server is gone, and works on the others.
 /// Only that one is asked for elsewhere; taken for late, all the others would be sent twice.
 #[test]
