Hold a server that was slow just before for as slow as it is

Cause: one reply counts for three times the usual time at most, so that a pause is not taken for slowness. A server that works nine times as long was therefore tried again every half second by each host that answers for its shard: 4.8 requests a second of the usual 8.2, and 14 parts of each search were late.

Ruled out: the unbounded sample at once (a pause would count); the bound by the faded slowness (a trial: it has faded below the bound by the time the server is tried, so it never applies).

Change: if what was learnt in the last three seconds says that the server is slow, a reply counts up to twelve times the usual time.

In the new test 15 tries in eight seconds, then at most 9.

What is left late is what each host has to learn by itself.

--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -25,6 +25,16 @@
 /// not send the requests of the next seconds to another failure domain. Three in a row do.
 const MOST_SLOWNESS: f64 = 3.0;
 
+/// Largest slowness that a reply of a server that was slow just before can show.
+///
+/// A server that works ten times as long and is tried again as soon as one that works twice as long
+/// costs a late part every half second; held for as slow as it is, one in two to four seconds.
+const MOST_KNOWN: f64 = 12.0;
+
+/// Part of what was learnt that has to hold still for a server to count as slow just before: it was
+/// learnt within twice [`MEMORY`], in which each server gets several requests.
+const KNOWN: f64 = 0.25;
+
 /// Time after which half of what was learnt about a server is forgotten.
 ///
 /// A server that recovered has to be tried again; a slow one costs one hedged request each time.
@@ -149,12 +159,14 @@
         let memory = self.memory(now);
         let slowness = 1.0 + (self.slowness.max(0.1) - 1.0) * memory;
         let failing = self.failing * memory;
+        let known = self.slowness >= SLOW && memory >= KNOWN;
+        let most = if known { MOST_KNOWN } else { MOST_SLOWNESS };
         match sign {
             Sign::Replied { slowness: sample } => {
                 self.slowness = slowness;
                 // Requests that waited through the same pause tell of it once.
                 if sample < MOST_SLOWNESS || sent >= self.slow_at {
-                    let sample = sample.clamp(0.3, MOST_SLOWNESS);
+                    let sample = sample.clamp(0.3, most);
                     self.slowness = slowness + WEIGHT * (sample - slowness);
                 }
                 if sample >= MOST_SLOWNESS {
--- a/crates/lentillift-scatter/tests/replicas.rs
+++ b/crates/lentillift-scatter/tests/replicas.rs
@@ -87,6 +87,23 @@
     assert_eq!(choice(&mut core, now), "far");
 }
 
+/// The near replica takes nine times as long as usual for some seconds while ten requests a second ask
+/// for its shard. Tried again as soon as a server that is merely slow would be, it makes a part late
+/// every half second, and with fifteen servers like it no search is whole.
+#[test]
+fn a_very_slow_server_is_rarely_tried() {
+    let mut core = pair();
+    let mut tried = 0;
+    for tick in 0..80 {
+        let now = NOON + MS * 100 * tick;
+        if choice(&mut core, now) == "near" {
+            tried += 1;
+            exchange(&mut core, "near", now, now + TYPICAL * 9, slow(9.0));
+        }
+    }
+    assert!(tried <= 9, "tried {tried} times in eight seconds");
+}
+
 /// The slow replica recovers while nobody asks it. It is tried again within seconds.
 #[test]
 fn a_slow_server_is_tried_again() {
