Serve latency histograms by route and hop, and the fleet's own p99

Cause: latencies were quantiles of one process by outcome only. Quantiles of processes can't be put together, so `status` showed the p99 of the worst host as the fleet's, and nobody could tell which route or which hop was slow. `load` ran for minutes without a word.

Ruled out: sending each process's full histogram with its status (some 100 kB a service over 62 days).

`load` tells on standard error every five seconds how many requests have ended.

Tests for both, and for the text of the histogram.

--- a/crates/lentillift-gateway/src/flight.rs
+++ b/crates/lentillift-gateway/src/flight.rs
@@ -18,10 +18,45 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Which way a send goes, for the counters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Hop {
+    /// To a backend server of this failure domain.
+    Near,
+    /// To a backend server of another failure domain.
+    Far,
+    /// To another host.
+    Host,
+    /// The rest of what another host tells.
+    Rest,
+}
+
+impl Hop {
+    /// The way to `target` from a host in `domain`.
+    pub(crate) fn of(target: &Target, domain: &str) -> Self {
+        match target {
+            Target::Server(server) if *server.entry.domain == *domain => Self::Near,
+            Target::Server(_) => Self::Far,
+            Target::Host { .. } => Self::Host,
+        }
+    }
+
+    /// Its label.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Near => "near",
+            Self::Far => "far",
+            Self::Host => "host",
+            Self::Rest => "rest",
+        }
+    }
+}
+
 /// A send that has ended.
 pub(crate) struct Arrival {
     pub(crate) number: Number,
     pub(crate) leg: usize,
+    pub(crate) hop: Hop,
     /// Time since it was sent.
     pub(crate) took: Duration,
     pub(crate) told: Told,
@@ -46,6 +81,7 @@
     let began = host.now();
     let number = send.number;
     let leg = send.legs.first().copied().unwrap_or_default();
+    let hop = Hop::of(&send.target, &host.domain);
     let told = match &send.target {
         Target::Server(server) => {
             let left = send.left;
@@ -65,6 +101,7 @@
     Arrival {
         number,
         leg,
+        hop,
         took,
         told,
     }
@@ -87,6 +124,7 @@
     Arrival {
         number,
         leg,
+        hop: Hop::Rest,
         took,
         told,
     }
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -199,8 +199,8 @@
     let took = host.now().saturating_sub(arrived);
     let (outcome, response) = conclude(host, &route, &done);
     host.board.count(metric::REQUESTS, outcome);
-    let now = host.now();
-    host.board.time(now, metric::REQUEST_SECONDS, outcome, took);
+    let labels = [("route", &*route.name), ("kind", outcome)];
+    host.board.time(metric::REQUEST_SECONDS, &labels, took);
     if done.unpaid > 0 {
         host.board.add(metric::UNPAID, done.unpaid.into());
     }
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -9,10 +9,10 @@
 /// Callers' requests, by outcome.
 pub const REQUESTS: &str = "lentillift_gateway_requests_total";
 
-/// Time to answer callers' requests, by outcome.
+/// Time to answer callers' requests, by route and outcome.
 pub const REQUEST_SECONDS: &str = "lentillift_gateway_request_seconds";
 
-/// Time from a send to its end, by outcome.
+/// Time from a send to its end, by route, hop and outcome.
 pub const SEND_SECONDS: &str = "lentillift_gateway_send_seconds";
 
 /// Sends, by where they went.
@@ -71,9 +71,8 @@
     }
 
     /// Notes how long something took.
-    pub fn time(&self, now: Time, name: &'static str, kind: &'static str, took: Duration) {
-        let labels = [("kind", kind)];
-        self.metrics.borrow_mut().observe(now, name, &labels, took);
+    pub fn time(&self, name: &'static str, labels: &[(&str, &str)], took: Duration) {
+        self.metrics.borrow_mut().record(name, labels, took);
     }
 
     /// All of it, as text.
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -7,6 +7,7 @@
 use crate::flight;
 use crate::flight::Arrival;
 use crate::flight::Flights;
+use crate::flight::Hop;
 use crate::host::Host;
 use crate::message::Message;
 use crate::metric;
@@ -161,7 +162,12 @@
 
     fn launch(&mut self, sends: Vec<Send>) {
         for send in sends {
-            self.host.board.count(metric::SENDS, self.way(&send));
+            let hop = Hop::of(&send.target, &self.host.domain);
+            let way = match hop {
+                Hop::Far if send.repeat => "far repeat",
+                hop => hop.name(),
+            };
+            self.host.board.count(metric::SENDS, way);
             if send.repeat {
                 self.tell_repeat(&send);
             }
@@ -177,16 +183,6 @@
         }
     }
 
-    /// Whether a send stays in this failure domain, for the counters.
-    fn way(&self, send: &Send) -> &'static str {
-        match &send.target {
-            Target::Host { .. } => "host",
-            Target::Server(server) if server.entry.domain == self.host.domain => "near",
-            Target::Server(_) if send.repeat => "far repeat",
-            Target::Server(_) => "far",
-        }
-    }
-
     /// Notes a repeated send: when, and which server gets it.
     fn tell_repeat(&mut self, send: &Send) {
         let leg = send.legs.first().copied().unwrap_or_default();
@@ -274,6 +270,7 @@
         let Arrival {
             number,
             leg,
+            hop,
             took,
             told,
         } = arrival;
@@ -282,7 +279,7 @@
             merged,
             rest,
         } = told;
-        self.tell(&ended, leg, took);
+        self.tell(&ended, leg, hop, took);
         if let Some(rest) = rest {
             self.flights
                 .push(flight::go_on(self.host.clone(), number, leg, rest).boxed_local());
@@ -314,7 +311,7 @@
         }
     }
 
-    fn tell(&mut self, ended: &Ended, leg: usize, took: Duration) {
+    fn tell(&mut self, ended: &Ended, leg: usize, hop: Hop, took: Duration) {
         let label = match ended.outcome {
             Outcome::Part { .. } => "part",
             Outcome::Branch(_) => "branch",
@@ -324,10 +321,9 @@
             Outcome::Unreachable => "unreachable",
             Outcome::Broken => "broken",
         };
-
-        let now = self.now();
-        let board = &self.host.board;
-        board.time(now, metric::SEND_SECONDS, label, took);
+        let route = &*self.query.plan().route.name;
+        let labels = [("route", route), ("hop", hop.name()), ("kind", label)];
+        self.host.board.time(metric::SEND_SECONDS, &labels, took);
         if matches!(ended.outcome, Outcome::Part { .. } | Outcome::Branch(_)) {
             return;
         }
--- a/crates/lentillift-load/src/run.rs
+++ b/crates/lentillift-load/src/run.rs
@@ -36,6 +36,9 @@
 /// Longest wait for all processes to be ready.
 const READY: Duration = Duration::from_secs(15);
 
+/// How often it is told how far the run is.
+const TELL: Duration = Duration::from_secs(5);
+
 /// Time between a failed connection and a try at another process, as a balancer does it.
 const RECONNECT: Duration = Duration::from_millis(20);
 
@@ -48,17 +51,33 @@
     pub counts: Vec<Counts>,
 }
 
-/// Runs a scenario against the processes whose files are in `hosts`.
+/// How far a run is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// Time since the start of the load.
+    pub after: Duration,
+    /// Requests that ended.
+    pub ended: usize,
+    /// Requests of the whole run.
+    pub requests: usize,
+}
+
+/// Runs a scenario against the processes whose files are in `hosts`; tells every few seconds, and at
+/// the end, how far it is.
 ///
 /// # Errors
 ///
 /// When the stand-ins can't be driven or the processes don't get ready.
-pub fn run(
+pub fn run<T>(
     scenario: &Scenario,
     control: &Control,
     hosts: &Path,
     processes: usize,
-) -> anyhow::Result<Outcome> {
+    tell: T,
+) -> anyhow::Result<Outcome>
+where
+    T: Fn(Progress) + Sync,
+{
     let balancer = Balancer::new(hosts);
     await_ready(&balancer, control, processes)?;
     let arrivals = arrival::draw(scenario);
@@ -79,11 +98,13 @@
         let faults = scope.spawn(|| bring_about(scenario, control, load.start));
         let checks = scope.spawn(|| watch(&balancer, control, &over));
         let counts = scope.spawn(|| count(control, load.start, &over));
+        let told = scope.spawn(|| load.tell(&over, &tell));
         for client in clients {
             let _ = client.join();
         }
         over.store(true, Ordering::Relaxed);
         let _ = checks.join();
+        let _ = told.join();
         let failed = faults.join().unwrap_or(Ok(()));
         failed.map(|()| counts.join().unwrap_or_default())
     })?;
@@ -157,6 +178,31 @@
 }
 
 impl Load<'_> {
+    /// Tells how far the run is until it is `over`.
+    fn tell<T>(&self, over: &AtomicBool, tell: &T)
+    where
+        T: Fn(Progress),
+    {
+        let mut due = self.start + TELL;
+        while !over.load(Ordering::Relaxed) {
+            thread::sleep(CHECK);
+            if Instant::now() >= due {
+                due += TELL;
+                tell(self.progress());
+            }
+        }
+        tell(self.progress());
+    }
+
+    fn progress(&self) -> Progress {
+        let samples = self.samples.lock().unwrap_or_else(PoisonError::into_inner);
+        Progress {
+            after: self.start.elapsed(),
+            ended: samples.len(),
+            requests: self.arrivals.len(),
+        }
+    }
+
     /// Takes arrivals one after the other until there are no more.
     fn client(&self) {
         while let Some(arrival) = self.arrivals.get(self.next.fetch_add(1, Ordering::Relaxed)) {
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -108,7 +108,7 @@
     ),
     (
         "lentillift_gateway_request_seconds",
-        "Time to answer callers' requests, by outcome.",
+        "Time to answer callers' requests, by route and outcome, in seconds.",
     ),
     (
         "lentillift_gateway_requests_total",
@@ -116,7 +116,7 @@
     ),
     (
         "lentillift_gateway_send_seconds",
-        "Time from a send to its end, by outcome.",
+        "Time from a send to its end, by route, hop (near, far: a backend server of this failure domain or another; host: another host's first word; rest: its next ones) and outcome, in seconds.",
     ),
     (
         "lentillift_gateway_sends_total",
--- a/crates/lentillift-operator/src/lib.rs
+++ b/crates/lentillift-operator/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod board;
 pub mod catalog;
 pub mod event;
+pub mod histogram;
 pub mod latency;
 pub mod metric;
 pub mod server;
--- a/crates/lentillift-operator/src/metric.rs
+++ b/crates/lentillift-operator/src/metric.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and latencies, shown as Prometheus text.
 
 use crate::catalog;
+use crate::histogram::Histogram;
 use crate::latency::Latency;
 use lentillift_core::time::Time;
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
     Counter(Series<u64>),
     Gauge(Series<f64>),
     Summary(Series<Latency>),
+    Histogram(Series<Histogram>),
 }
 
 /// All series of a process.
@@ -82,6 +84,19 @@
         }
     }
 
+    /// Notes a time in a histogram, whose counts can be added over processes.
+    pub fn record(&mut self, name: &'static str, labels: &[(&str, &str)], time: Duration) {
+        render(&mut self.labels, labels);
+        let family = self.families.entry(name);
+        let family = family.or_insert_with(|| Family::Histogram(Series::new()));
+        if let Family::Histogram(series) = family {
+            match find(series, &self.labels, || Some(Histogram::default())) {
+                Some(histogram) => histogram.record(time),
+                None => self.dropped += 1,
+            }
+        }
+    }
+
     /// Everything, as Prometheus text.
     pub fn text(&self, now: Time) -> String {
         let mut text = String::new();
@@ -93,6 +108,7 @@
                 Family::Counter(series) => plain(&mut text, name, "counter", series),
                 Family::Gauge(series) => plain(&mut text, name, "gauge", series),
                 Family::Summary(series) => summaries(&mut text, now, name, series),
+                Family::Histogram(series) => histograms(&mut text, name, series),
             }
         }
         let name = "lentillift_series_dropped_total";
@@ -146,6 +162,25 @@
     }
 }
 
+fn histograms(text: &mut String, name: &str, series: &Series<Histogram>) {
+    let _ = writeln!(text, "# TYPE {name} histogram");
+    for (labels, histogram) in series {
+        let comma = if labels.is_empty() { "" } else { "," };
+        for (bound, count) in histogram.cumulative() {
+            let bound = bound.as_secs_f64();
+            let _ = writeln!(
+                text,
+                "{name}_bucket{{{labels}{comma}le=\"{bound}\"}} {count}"
+            );
+        }
+        let count = histogram.count();
+        let _ = writeln!(text, "{name}_bucket{{{labels}{comma}le=\"+Inf\"}} {count}");
+        let labels = braces(labels);
+        let _ = writeln!(text, "{name}_sum{labels} {}", histogram.sum().as_secs_f64());
+        let _ = writeln!(text, "{name}_count{labels} {count}");
+    }
+}
+
 fn braces(labels: &str) -> String {
     match labels.is_empty() {
         true => String::new(),
--- a/crates/lentillift-operator/src/trend.rs
+++ b/crates/lentillift-operator/src/trend.rs
@@ -3,8 +3,8 @@
 //! What users fear most is a search that gets a little later and a little less complete each
 //! month. No counter of the moment shows that; a row of days does.
 
+use crate::histogram::Histogram;
 use crate::latency;
-use hdrhistogram::Histogram;
 use lentillift_core::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -39,6 +39,10 @@
     pub coverage: f64,
     /// 99th percentile of the time to an answer, in milliseconds.
     pub p99_ms: f64,
+    /// Times to an answer, to be added to those of other processes; without counts from a process that
+    /// does not tell them yet.
+    #[serde(default)]
+    pub times: Histogram,
 }
 
 /// Spans of one length; only the current one keeps a histogram.
@@ -49,7 +53,7 @@
     past: VecDeque<Span>,
     current: Span,
     shares: f64,
-    latencies: Histogram<u64>,
+    latencies: hdrhistogram::Histogram<u64>,
 }
 
 impl Row {
@@ -123,6 +127,7 @@
         for row in self.rows(now, service) {
             row.current.answers += 1;
             row.current.full += u64::from(share >= 1.0);
+            row.current.times.record(latency);
             row.shares += share;
             latency::record(&mut row.latencies, latency);
         }
--- a/crates/lentillift-operator/tests/series.rs
+++ b/crates/lentillift-operator/tests/series.rs
@@ -44,6 +44,29 @@
     assert!((0.098..=0.1).contains(&p99), "{p99}");
 }
 
+/// Counts with the same bounds on every process are what a fleet's quantile is worked out from.
+#[test]
+fn histograms_count_up_to_each_bound() {
+    let mut metrics = Metrics::default();
+    let labels = [("route", "names")];
+    for millis in [3, 30, 40, 20_000] {
+        metrics.record("t", &labels, Duration::from_millis(millis));
+    }
+    let text = metrics.text(SECOND);
+    for line in [
+        "# TYPE t histogram",
+        "t_bucket{route=\"names\",le=\"0.002\"} 0",
+        "t_bucket{route=\"names\",le=\"0.005\"} 1",
+        "t_bucket{route=\"names\",le=\"0.05\"} 3",
+        "t_bucket{route=\"names\",le=\"10\"} 3",
+        "t_bucket{route=\"names\",le=\"+Inf\"} 4",
+        "t_sum{route=\"names\"} 20.073",
+        "t_count{route=\"names\"} 4",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line}\n{text}");
+    }
+}
+
 macro_rules! escapes {
     ($($name:ident: $value:literal => $shown:literal;)+) => {$(
         #[test]
--- a/crates/lentillift/src/command/load.rs
+++ b/crates/lentillift/src/command/load.rs
@@ -15,6 +15,7 @@
 use lentillift_load::report;
 use lentillift_load::report::Report;
 use lentillift_load::run;
+use lentillift_load::run::Progress;
 use lentillift_load::scenario::Scenario;
 use lentillift_settings::jsonc;
 use std::path::PathBuf;
@@ -50,6 +51,19 @@
     options.optopt("", "baseline", "compare with the report in FILE", "FILE");
 }
 
+/// Shows how far the run is; apart from the report, so that both can be read by machine.
+fn tell(progress: Progress) {
+    let Progress {
+        after,
+        ended,
+        requests,
+    } = progress;
+    eprintln!(
+        "{} s: {ended} of {requests} requests ended",
+        after.as_secs()
+    );
+}
+
 fn run(matches: &Matches) -> anyhow::Result<Exit> {
     let [file] = arguments(matches, ["SCENARIO"])?;
     let scenario: Scenario = jsonc::parse(&file, &read(&file)?)?;
@@ -59,7 +73,7 @@
         .map_err(|e| Usage(format!("--control: {e}")))?;
     let hosts: PathBuf = matches.opt_get("hosts")?.context("--hosts")?;
     let processes = matches.opt_get_default("processes", 1)?;
-    let outcome = run::run(&scenario, &Control::new(control), &hosts, processes)?;
+    let outcome = run::run(&scenario, &Control::new(control), &hosts, processes, tell)?;
     let report = report::sum_up(&scenario, &outcome);
     if let Some(file) = matches.opt_str("html") {
         std::fs::write(&file, html::render(&report)).context(file)?;
--- a/crates/lentillift/src/fleet.rs
+++ b/crates/lentillift/src/fleet.rs
@@ -157,13 +157,14 @@
 
 /// Spans of several processes put together by their start.
 ///
-/// The 99th percentile of the whole can't be had from those of the parts; the worst is shown,
-/// since one slow entry host is what its callers feel.
+/// The 99th percentile of the whole is worked out from the counts of all processes. It is never above
+/// that of the worst one, which stands in where a process does not tell its counts.
 pub fn merged<'a, I>(spans: I) -> Vec<Span>
 where
     I: Iterator<Item = &'a Span>,
 {
     let mut merged: BTreeMap<u64, Span> = BTreeMap::new();
+    let mut worst: BTreeMap<u64, f64> = BTreeMap::new();
     for span in spans {
         let whole = merged.entry(span.start_s).or_insert_with(|| Span {
             start_s: span.start_s,
@@ -174,7 +175,13 @@
         whole.full += span.full;
         whole.refusals += span.refusals;
         whole.coverage = share / (whole.answers.max(1)) as f64;
-        whole.p99_ms = whole.p99_ms.max(span.p99_ms);
+        whole.times.add(&span.times);
+        let worst = worst.entry(span.start_s).or_default();
+        *worst = worst.max(span.p99_ms);
+        let counted = whole.times.count() == whole.answers;
+        let p99 = whole.times.quantile(0.99).filter(|_| counted);
+        let p99_ms = p99.map_or(*worst, |p99| p99.as_secs_f64() * 1e3);
+        whole.p99_ms = p99_ms.min(*worst);
     }
     merged.into_values().collect()
 }
--- a/crates/lentillift/tests/fleet.rs
+++ b/crates/lentillift/tests/fleet.rs
@@ -12,6 +12,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// An event: its clock, its detail, what was handed over, and who sent it.
 type Row = (u64, &'static str, &'static str, &'static str);
@@ -118,6 +119,7 @@
         refusals: 0,
         coverage: f64::from(*coverage) / 1000.0,
         p99_ms: f64::from(*p99),
+        ..Span::default()
     };
     days.iter().enumerate().map(day).collect()
 }
@@ -151,6 +153,7 @@
         refusals: 1,
         coverage,
         p99_ms,
+        ..Span::default()
     };
     let spans = [
         span(0, 30, 1.0, 50.0),
@@ -164,6 +167,54 @@
     assert_eq!(merged[0].p99_ms, 90.0);
 }
 
+/// One of a hundred hosts stands still for a moment, and its few callers wait two seconds. The fleet's
+/// callers as a whole notice nothing; shown as the fleet's p99, it would wake somebody for nothing, and
+/// hide a slow decline of the others.
+#[test]
+fn one_slow_host_is_not_the_fleet() {
+    let host = |answers: u64, took_ms: u64| {
+        let mut span = Span {
+            answers,
+            p99_ms: took_ms as f64,
+            ..Span::default()
+        };
+        for _ in 0..answers {
+            span.times.record(Duration::from_millis(took_ms));
+        }
+        span
+    };
+    let mut spans = vec![host(100, 40); 99];
+    spans.push(host(20, 2000));
+    let merged = merged(spans.iter());
+    let p99 = merged[0].p99_ms;
+    assert!((35.0..=50.0).contains(&p99), "{p99} ms");
+}
+
+/// A fleet whose processes answer at different speeds: the p99 shown lies where one answer in a
+/// hundred takes longer, within the bounds that times are counted by.
+#[test]
+fn the_fleets_p99_counts_all_answers() {
+    let mut fast = Span {
+        answers: 960,
+        p99_ms: 30.0,
+        ..Span::default()
+    };
+    let mut slow = Span {
+        answers: 40,
+        p99_ms: 240.0,
+        ..Span::default()
+    };
+    for _ in 0..960 {
+        fast.times.record(Duration::from_millis(30));
+    }
+    for n in 0..40 {
+        slow.times.record(Duration::from_millis(160 + 2 * n));
+    }
+    let merged = merged([&fast, &slow].into_iter());
+    let p99 = merged[0].p99_ms;
+    assert!((150.0..=250.0).contains(&p99), "{p99} ms");
+}
+
 fn status(host: &str, revision: u64, alive: usize, ready: bool) -> Status {
     let alive: Vec<String> = (0..alive).map(|number| format!("h-{number}")).collect();
     let view = serde_json::json!({
