--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -37,12 +37,12 @@
 use std::time::UNIX_EPOCH;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tracing::info;
-use tracing::warn;
 
 /// Time between two looks at what has expired.
 const HOUSEKEEPING: Duration = Duration::from_millis(250);
@@ -119,17 +119,26 @@
     listener.map_err(|e| Error::new(Step::Listen, address, e))
 }
 
+fn handler(kind: SignalKind) -> Result<Signal> {
+    signal(kind).map_err(|e| Error::new(Step::Listen, "signals", e))
+}
+
 async fn serve<D, S, F>(settings: Settings, dialect: D, source: S, reload: F) -> Result<()>
 where
     D: Dialect,
     S: Source,
     F: FnMut() -> Option<Tuning> + 'static,
 {
+    // Before anything can be seen of the process: a signal without a handler would end it in the middle
+    // of its start, and whoever sent it to have settings read again would find the process gone.
+    let mut term = handler(SignalKind::terminate())?;
+    let hangup = handler(SignalKind::hangup())?;
     let front = bind(settings.front).await?;
     let ready = bind(settings.ready).await?;
     let node = bind(settings.node).await?;
     let socket = UdpSocket::bind(settings.node).await;
-    let socket = Rc::new(socket.map_err(|e| Error::new(Step::Listen, settings.node, e))?);
+    let socket =
+        Rc::new(socket.map_err(|e| Error::new(Step::Listen, format!("udp {}", settings.node), e))?);
     let host = make(&settings, dialect, source);
     info!(event = "start", host = %host.name, domain = %host.domain, front = %settings.front, "up");
     if let Some(address) = settings.metrics {
@@ -141,10 +150,8 @@
     tokio::task::spawn_local(member::run(host.clone(), socket.clone()));
     tokio::task::spawn_local(feed::follow(host.clone()));
     tokio::task::spawn_local(keep_house(host.clone(), socket.clone()));
-    tokio::task::spawn_local(watch_settings(host.clone(), reload));
+    tokio::task::spawn_local(watch_settings(host.clone(), hangup, reload));
     tokio::task::spawn_local(front::serve(host.clone(), front, settings.callers));
-    let mut term =
-        signal(SignalKind::terminate()).map_err(|e| Error::new(Step::Listen, "signals", e))?;
     term.recv().await;
     end(&host, &socket, settings.grace).await;
     Ok(())
@@ -286,19 +293,12 @@
 }
 
 /// Puts changed settings in force.
-async fn watch_settings<D, S, F>(host: Rc<Host<D, S>>, mut reload: F)
+async fn watch_settings<D, S, F>(host: Rc<Host<D, S>>, mut hangup: Signal, mut reload: F)
 where
     D: Dialect,
     S: Source,
     F: FnMut() -> Option<Tuning>,
 {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            warn!(event = "signal", %error, "settings are not reloaded");
-            return;
-        }
-    };
     loop {
         tokio::select! {
             _ = hangup.recv() => {}
