Let hosts tell each other of slow backend servers

Cause: on the larger deployments a host has a search a second and meets each backend server once in four; while a seventh of them are slow for eight seconds it learns of them when they are well again.

Ruled out: one far host for all (a freeze of it would meet a quarter of all searches); membership datagrams (a period and several hops, slower than the searches).

Change: the first message of a host that was asked carries up to 48 slow servers with slowness, failures and age. A receiver takes what is newer than its own knowledge; the age goes along, so that word fades however often it is passed on. A host that finds two fifths of its servers slow says nothing. The path's version is raised: a host of the former version declines and is gone round.

--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -36,12 +36,13 @@
 use lentillift_scatter::outcome::Send;
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::record;
+use lentillift_scatter::report::Report;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::info;
 
 /// Path of these requests.
-pub const PATH: &str = "/v1/branch";
+pub const PATH: &str = "/v2/branch";
 
 /// What a host is asked, as it stands on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -71,6 +72,42 @@
     declined: Vec<u16>,
     /// Places of the shards whose send brought nothing.
     failed: Vec<u16>,
+    /// Backend servers that are slow, in the first message.
+    slow: Vec<Slow>,
+}
+
+/// What a host has learnt of a slow backend server, as it stands on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Slow {
+    backend: String,
+    /// Its reply time in hundredths of the usual one.
+    slowness: u16,
+    /// Percentage of its requests that failed.
+    failing: u8,
+    /// Time since this was learnt.
+    age_ms: u32,
+}
+
+impl From<&Report> for Slow {
+    fn from(report: &Report) -> Self {
+        Self {
+            backend: report.backend.to_string(),
+            slowness: (report.slowness * 100.0) as u16,
+            failing: (report.failing * 100.0) as u8,
+            age_ms: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<&Slow> for Report {
+    fn from(slow: &Slow) -> Self {
+        Self {
+            backend: slow.backend.as_str().into(),
+            slowness: f64::from(slow.slowness) / 100.0,
+            failing: f64::from(slow.failing) / 100.0,
+            age: Duration::from_millis(slow.age_ms.into()),
+        }
+    }
 }
 
 /// Parts that another host merged.
@@ -140,7 +177,7 @@
     };
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = http::Method::POST;
-    *request.uri_mut() = http::Uri::from_static("http://host/v1/branch");
+    *request.uri_mut() = http::Uri::from_static("http://host/v2/branch");
     let sent = tokio::time::timeout(send.left, host.peers.send(address, request)).await;
     let response = match sent {
         Ok(Ok(response)) => response,
@@ -181,6 +218,11 @@
             Ok(answer) => answer,
             Err(_) => return Told::without(Outcome::Broken, "host did not tell everything"),
         };
+        if !answer.slow.is_empty() {
+            let reports: Vec<Report> = answer.slow.iter().map(Report::from).collect();
+            let now = host.now();
+            host.core.borrow_mut().book.hear(&reports, now);
+        }
         let legs = |places: &[u16]| -> Vec<usize> {
             let legs = places
                 .iter()
@@ -334,9 +376,21 @@
             .collect()
     }
 
+    /// What to tell of slow backend servers; nothing after the first message.
+    fn slow(&self) -> Vec<Slow> {
+        if self.told.contains(&true) {
+            return Vec::new();
+        }
+        let reports = self.run.reports();
+        reports.iter().map(Slow::from).collect()
+    }
+
     /// Tells what is new; once the time is `over`, what is open has failed.
     fn tell(&mut self, news: &[Option<State>], over: bool) -> Option<Bytes> {
-        let mut answer = Answer::default();
+        let mut answer = Answer {
+            slow: self.slow(),
+            ..Answer::default()
+        };
         let mut parts: Vec<Part> = Vec::new();
         for (shard, state) in news.iter().enumerate() {
             let place = shard as u16;
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -25,6 +25,7 @@
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::query::Query;
 use lentillift_scatter::replica::Number;
+use lentillift_scatter::report::Report;
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -150,6 +151,11 @@
         &self.notes
     }
 
+    /// What this host has learnt of slow backend servers.
+    pub fn reports(&self) -> Vec<Report> {
+        self.host.core.borrow().book.reports(self.host.now())
+    }
+
     /// The time.
     pub fn now(&self) -> Time {
         self.host.now()
--- a/crates/lentillift-scatter/src/lib.rs
+++ b/crates/lentillift-scatter/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod query;
 pub mod record;
 pub mod replica;
+pub mod report;
 pub mod server;
 pub mod share;
 pub mod source;
--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -9,6 +9,7 @@
 //! Grounds for the figures stand beside them.
 
 use crate::limit;
+use crate::report::Report;
 use crate::server::Server;
 use crate::share::Share;
 use lentillift_core::id;
@@ -215,6 +216,31 @@
         excess >= SLOW - 1.0 || self.failing * memory >= FAILING
     }
 
+    /// Whether anything was learnt lately.
+    pub(crate) fn is_known(&self, now: Time) -> bool {
+        self.learnt > Time::ZERO && self.memory(now) >= KNOWN
+    }
+
+    /// What other hosts should know of it.
+    pub(crate) fn report(&self, backend: &id::Backend, now: Time) -> Report {
+        Report {
+            backend: backend.clone(),
+            slowness: self.slowness,
+            failing: self.failing,
+            age: now.saturating_sub(self.learnt),
+        }
+    }
+
+    /// Takes in what another host has learnt, unless this host's knowledge is as new but for `same`.
+    pub(crate) fn hear(&mut self, report: &Report, now: Time, same: Duration) {
+        let learnt = now.saturating_sub(report.age);
+        if learnt > self.learnt + same {
+            self.slowness = report.slowness.clamp(0.0, MOST_KNOWN);
+            self.failing = report.failing.clamp(0.0, 1.0);
+            self.learnt = learnt;
+        }
+    }
+
     /// Sends without a reply.
     pub fn pending(&self) -> usize {
         self.pending.len()
@@ -285,6 +311,16 @@
         self.replicas.entry(backend.clone()).or_default()
     }
 
+    /// All of them.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&id::Backend, &Replica)> {
+        self.replicas.iter()
+    }
+
+    /// What is known of `backend`, if it was ever considered.
+    pub(crate) fn find(&mut self, backend: &id::Backend) -> Option<&mut Replica> {
+        self.replicas.get_mut(backend)
+    }
+
     /// Forgets all backend servers but those that `keeps` names and those with sends in flight.
     pub fn retain<F>(&mut self, keeps: F)
     where
--- /dev/null
+++ b/crates/lentillift-scatter/src/report.rs
@@ -0,0 +1,68 @@
+//! What hosts tell each other of slow backend servers.
+//!
+//! Pattern: a search asks ninety shards of sixty hosts, and each host has one search a second or less.
+//! A seventh of the backend servers become slow for some seconds. A host meets each of them once in four
+//! seconds, so by itself it learns of them when they are well again; until then a seventh of the parts
+//! of each search are late, and repeats for all of them are more than the budget allows.
+//!
+//! Every host that is asked for shards tells with its answer which servers it found slow or was told of.
+//! What is told keeps the time at which it was learnt, so it fades as fast as what a host learnt
+//! itself, however often it is passed on.
+
+use crate::replica::Book;
+use crate::replica::Replica;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+use std::time::Duration;
+
+/// Part of the servers that may be slow for a host's word on them to be worth anything.
+///
+/// A host that stands still for a moment finds all servers slow; if it told others, they would go
+/// round servers that are well.
+const MINORITY: f64 = 0.4;
+
+/// Servers told of at a time: about a kilobyte.
+const MOST: usize = 48;
+
+/// Difference in age below which two reports are held to be the same one, passed on by another way.
+const SAME: Duration = Duration::from_millis(50);
+
+/// What a host has learnt of a slow backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    /// The server.
+    pub backend: id::Backend,
+    /// Its reply time compared with the usual one.
+    pub slowness: f64,
+    /// Share of its requests that failed, from 0 to 1.
+    pub failing: f64,
+    /// Time since this was learnt.
+    pub age: Duration,
+}
+
+impl Book {
+    /// What other hosts should know; the latest first.
+    pub fn reports(&self, now: Time) -> Vec<Report> {
+        let known = self.iter().filter(|(_, replica)| replica.is_known(now));
+        let known = known.count();
+        let slow = self.iter().filter(|(_, replica)| replica.is_slow(now));
+        let report = |(backend, replica): (&id::Backend, &Replica)| replica.report(backend, now);
+        let mut reports: Vec<Report> = slow.map(report).collect();
+        if reports.len() as f64 > known as f64 * MINORITY {
+            return Vec::new();
+        }
+        reports.sort_by_key(|report| report.age);
+        reports.truncate(MOST);
+        reports
+    }
+
+    /// Takes in what another host reports, where it is newer than what is known here.
+    pub fn hear(&mut self, reports: &[Report], now: Time) {
+        for report in reports {
+            // One that was never considered here would be kept for ever under a name that a peer made up.
+            if let Some(replica) = self.find(&report.backend) {
+                replica.hear(report, now, SAME);
+            }
+        }
+    }
+}
