Tell other hosts of servers that are left alone, too

Cause: a server that fell silent is left alone for up to 1.6 s by the host that asks it most, but the share of its failures fades below the threshold for telling after 1.1 s; other hosts then lose requests to it while nobody who knows better would.

Change: servers that failed three times in a row and are left alone are reported as failing whole.

--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -221,12 +221,22 @@
         self.learnt > Time::ZERO && self.memory(now) >= KNOWN
     }
 
+    /// Whether it failed several times in a row and is left alone for that.
+    fn is_lost(&self, now: Time) -> bool {
+        self.failures >= FAILURES && self.is_down(now)
+    }
+
+    /// Whether other hosts should know of it.
+    pub(crate) fn is_told(&self, now: Time) -> bool {
+        self.is_slow(now) || self.is_lost(now)
+    }
+
     /// What other hosts should know of it.
     pub(crate) fn report(&self, backend: &id::Backend, now: Time) -> Report {
         Report {
             backend: backend.clone(),
             slowness: self.slowness,
-            failing: self.failing,
+            failing: if self.is_lost(now) { 1.0 } else { self.failing },
             age: now.saturating_sub(self.learnt),
         }
     }
--- a/crates/lentillift-scatter/src/report.rs
+++ b/crates/lentillift-scatter/src/report.rs
@@ -45,7 +45,7 @@
     pub fn reports(&self, now: Time) -> Vec<Report> {
         let known = self.iter().filter(|(_, replica)| replica.is_known(now));
         let known = known.count();
-        let slow = self.iter().filter(|(_, replica)| replica.is_slow(now));
+        let slow = self.iter().filter(|(_, replica)| replica.is_told(now));
         let report = |(backend, replica): (&id::Backend, &Replica)| replica.report(backend, now);
         let mut reports: Vec<Report> = slow.map(report).collect();
         if reports.len() as f64 > known as f64 * MINORITY {
--- a/crates/lentillift-scatter/tests/reports.rs
+++ b/crates/lentillift-scatter/tests/reports.rs
@@ -133,3 +133,32 @@
     other.book.hear(&reports, now);
     assert_eq!(other.book.reports(now), []);
 }
+
+/// A server has fallen silent and is left alone for a while by the host that asks it most. Hosts that ask
+/// it once in four seconds would each lose three requests before they do the same.
+#[test]
+fn a_server_that_is_left_alone_is_told_of() {
+    let (mut witness, mut now) = witness();
+    let backend = "near1".into();
+    for pause in [0, 0, 400, 800] {
+        let number = witness.number();
+        witness.book.get(&backend).sent(number, now);
+        now += MS * 200;
+        witness.ended(number, &backend, Sign::Failed, now, None);
+        now += MS * pause;
+    }
+    let number = witness.number();
+    witness.book.get(&backend).sent(number, now);
+    witness.ended(number, &backend, Sign::Failed, now, None);
+    // By now the share of failures alone would say that it is well again.
+    now += MS * 1200;
+    for shard in 2..SERVERS {
+        replies(&mut witness, shard, now - TYPICAL * 2, 2, 1.0);
+    }
+    let reports = witness.book.reports(now);
+    let named = |report: &lentillift_scatter::report::Report| report.backend == backend;
+    assert!(reports.iter().any(named), "{reports:?}");
+    let mut other = host();
+    other.book.hear(&reports, now);
+    assert_eq!(choice(&mut other, 1, now), "far1");
+}
