Log what other hosts tell of slow backend servers

Cause: a host goes round a server that another host told it of, and its log did not say why.

Ruled out: a line for each server (up to 48 for each answer).

Change: one line for each answer that brought something newer than what was known: from whom, how many servers were told of, how many were news.

--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -219,9 +219,7 @@
             Err(_) => return Told::without(Outcome::Broken, "host did not tell everything"),
         };
         if !answer.slow.is_empty() {
-            let reports: Vec<Report> = answer.slow.iter().map(Report::from).collect();
-            let now = host.now();
-            host.core.borrow_mut().book.hear(&reports, now);
+            hear(host, &self.reader, &answer.slow);
         }
         let legs = |places: &[u16]| -> Vec<usize> {
             let legs = places
@@ -256,6 +254,26 @@
     }
 }
 
+/// Takes in what another host says of slow backend servers.
+fn hear<D, S>(host: &Host<D, S>, from: &Reader<Answer>, slow: &[Slow])
+where
+    D: Dialect,
+    S: Source,
+{
+    let reports: Vec<Report> = slow.iter().map(Report::from).collect();
+    let now = host.now();
+    let newer = host.core.borrow_mut().book.hear(&reports, now);
+    if newer > 0 {
+        info!(
+            event = "slow",
+            from = from.peer(),
+            told = reports.len(),
+            newer,
+            "another host knows of slow backend servers"
+        );
+    }
+}
+
 fn question(send: &Send, services: Vec<String>, authority: &str, message: &Message) -> Question {
     let headers = message.headers.iter();
     let headers = headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
--- a/crates/lentillift-gateway/src/frame.rs
+++ b/crates/lentillift-gateway/src/frame.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Whom the messages come from.
+    pub fn peer(&self) -> &str {
+        &self.peer
+    }
+
     /// The next message, if it comes within `timeout`.
     ///
     /// # Errors
--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -241,14 +241,17 @@
         }
     }
 
-    /// Takes in what another host has learnt, unless this host's knowledge is as new but for `same`.
-    pub(crate) fn hear(&mut self, report: &Report, now: Time, same: Duration) {
+    /// Takes in what another host has learnt, unless this host's knowledge is as new but for `same`; says
+    /// whether it did.
+    pub(crate) fn hear(&mut self, report: &Report, now: Time, same: Duration) -> bool {
         let learnt = now.saturating_sub(report.age);
-        if learnt > self.learnt + same {
+        let newer = learnt > self.learnt + same;
+        if newer {
             self.slowness = report.slowness.clamp(0.0, MOST_KNOWN);
             self.failing = report.failing.clamp(0.0, 1.0);
             self.learnt = learnt;
         }
+        newer
     }
 
     /// Sends without a reply.
--- a/crates/lentillift-scatter/src/report.rs
+++ b/crates/lentillift-scatter/src/report.rs
@@ -56,13 +56,14 @@
         reports
     }
 
-    /// Takes in what another host reports, where it is newer than what is known here.
-    pub fn hear(&mut self, reports: &[Report], now: Time) {
-        for report in reports {
+    /// Takes in what another host reports, where it is newer than what is known here; says of how many
+    /// servers it was.
+    pub fn hear(&mut self, reports: &[Report], now: Time) -> usize {
+        let newer = reports.iter().filter(|report| {
             // One that was never considered here would be kept for ever under a name that a peer made up.
-            if let Some(replica) = self.find(&report.backend) {
-                replica.hear(report, now, SAME);
-            }
-        }
+            let replica = self.find(&report.backend);
+            replica.is_some_and(|replica| replica.hear(report, now, SAME))
+        });
+        newer.count()
     }
 }
