Pass on what was heard also where little was seen

Cause: found on reading the change: a host keeps its reports to itself if more than two fifths of the servers that it knows of are slow, and counted those that it was only told of. A host that is told of 42 slow servers and has asked few others lately passed nothing on.

Ruled out: dropping the bound (a host that stood still would poison all others).

Change: the bound counts only what the host has learnt itself, and holds back only that.

The new test fails without it.

--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -102,6 +102,8 @@
     failing: f64,
     /// When the last reply or failure came.
     learnt: Time,
+    /// Whether that came from another host.
+    heard: bool,
     /// When the last slow reply came.
     slow_at: Time,
     load: Option<(Load, Time)>,
@@ -196,6 +198,7 @@
             Sign::Abandoned => return,
         }
         self.learnt = now;
+        self.heard = false;
     }
 
     fn pause(&mut self, now: Time) {
@@ -216,9 +219,14 @@
         excess >= SLOW - 1.0 || self.failing * memory >= FAILING
     }
 
-    /// Whether anything was learnt lately.
-    pub(crate) fn is_known(&self, now: Time) -> bool {
-        self.learnt > Time::ZERO && self.memory(now) >= KNOWN
+    /// Whether this host has itself learnt anything of it lately.
+    pub(crate) fn is_seen(&self, now: Time) -> bool {
+        !self.heard && self.learnt > Time::ZERO && self.memory(now) >= KNOWN
+    }
+
+    /// Whether what is known of it came from another host.
+    pub(crate) fn is_heard(&self) -> bool {
+        self.heard
     }
 
     /// Whether it failed several times in a row and is left alone for that.
@@ -250,6 +258,7 @@
             self.slowness = report.slowness.clamp(0.0, MOST_KNOWN);
             self.failing = report.failing.clamp(0.0, 1.0);
             self.learnt = learnt;
+            self.heard = true;
         }
         newer
     }
--- a/crates/lentillift-scatter/src/report.rs
+++ b/crates/lentillift-scatter/src/report.rs
@@ -15,10 +15,11 @@
 use lentillift_core::time::Time;
 use std::time::Duration;
 
-/// Part of the servers that may be slow for a host's word on them to be worth anything.
+/// Part of the servers that a host itself has asked lately that may be slow for its own findings to be
+/// worth anything.
 ///
 /// A host that stands still for a moment finds all servers slow; if it told others, they would go
-/// round servers that are well.
+/// round servers that are well. What it heard from others it passes on all the same.
 const MINORITY: f64 = 0.4;
 
 /// Servers told of at a time: about a kilobyte.
@@ -43,14 +44,17 @@
 impl Book {
     /// What other hosts should know; the latest first.
     pub fn reports(&self, now: Time) -> Vec<Report> {
-        let known = self.iter().filter(|(_, replica)| replica.is_known(now));
-        let known = known.count();
-        let slow = self.iter().filter(|(_, replica)| replica.is_told(now));
-        let report = |(backend, replica): (&id::Backend, &Replica)| replica.report(backend, now);
-        let mut reports: Vec<Report> = slow.map(report).collect();
-        if reports.len() as f64 > known as f64 * MINORITY {
-            return Vec::new();
+        let seen = self.iter().filter(|(_, replica)| replica.is_seen(now));
+        let (mut count, mut slow) = (0, 0);
+        for (_, replica) in seen {
+            count += 1;
+            slow += u32::from(replica.is_told(now));
         }
+        let credible = f64::from(slow) <= f64::from(count) * MINORITY;
+        let told = self.iter().filter(|(_, replica)| replica.is_told(now));
+        let told = told.filter(|(_, replica)| credible || replica.is_heard());
+        let report = |(backend, replica): (&id::Backend, &Replica)| replica.report(backend, now);
+        let mut reports: Vec<Report> = told.map(report).collect();
         reports.sort_by_key(|report| report.age);
         reports.truncate(MOST);
         reports
--- a/crates/lentillift-scatter/tests/reports.rs
+++ b/crates/lentillift-scatter/tests/reports.rs
@@ -111,6 +111,18 @@
     assert_eq!(host.book.reports(now), []);
 }
 
+/// A host has asked nobody lately, and is told of a slow server. That it knows of nothing else is no
+/// reason to keep it to itself: the next host asks this one, not the one that found out.
+#[test]
+fn word_is_passed_on_by_a_host_that_saw_nothing() {
+    let (witness, now) = witness();
+    let mut between = host();
+    between.book.hear(&witness.book.reports(now), now);
+    let mut last = host();
+    last.book.hear(&between.book.reports(now + MS), now + MS);
+    assert_eq!(choice(&mut last, 0, now + MS), "far0");
+}
+
 /// The server has recovered and a host has just seen it. Older word must not outweigh that.
 #[test]
 fn what_a_host_saw_itself_just_now_holds() {
