Serve memory, lines lost from the log, budget left, and calls by outcome

Cause: an engineer on call could not tell from the metrics whether the budget was used up, whether the log had gaps, how much memory a process takes, or whether calls to the store fail.

Ruled out: keeping these up to date all the time (reading the process's status costs the processor that requests need); they are worked out when somebody asks for the metrics.

Watches of a host that waits are counted when they end, since only then their outcome is known.

--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -231,20 +231,24 @@
 where
     S: Source,
 {
-    host.board.count(metric::SERVICE_CALLS, "watch");
     let wait = host.news.watch();
     let watch = host.source.watch(after, wait);
     let watched = tokio::time::timeout(wait + host.news.slack(), watch).await;
-    watched.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "watch timed out")))
+    let watched =
+        watched.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "watch timed out")));
+    let board = &host.board;
+    board.call(metric::SERVICE_CALLS, "watch", watched.is_ok());
+    watched
 }
 
 async fn read<D, S>(host: &Host<D, S>) -> Result<News>
 where
     S: Source,
 {
-    host.board.count(metric::SERVICE_CALLS, "read");
     let read = tokio::time::timeout(READ_TIMEOUT, host.source.read()).await;
-    read.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "read timed out")))
+    let read = read.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "read timed out")));
+    host.board.call(metric::SERVICE_CALLS, "read", read.is_ok());
+    read
 }
 
 /// Follows another host.
--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod local;
 pub mod log;
 pub mod member;
+pub mod memory;
 pub mod message;
 pub mod metric;
 mod notice;
--- a/crates/lentillift-gateway/src/listen.rs
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -6,6 +6,9 @@
 use crate::frame;
 use crate::host::Host;
 use crate::local::Executor;
+use crate::log;
+use crate::memory;
+use crate::metric;
 use crate::pool::tune;
 use crate::source::Source;
 use bytes::Bytes;
@@ -76,6 +79,23 @@
     }
 }
 
+/// All metrics, with those that are only worked out when somebody asks.
+fn metrics<D, S>(host: &Host<D, S>) -> String
+where
+    D: Dialect,
+    S: Source,
+{
+    let now = host.now();
+    let board = &host.board;
+    if let Some(bytes) = memory::resident() {
+        board.gauge(metric::MEMORY, bytes as f64);
+    }
+    board.gauge(metric::LOG_DROPPED, log::all_dropped() as f64);
+    let left = host.core.borrow_mut().budget_left(now);
+    board.gauge(metric::BUDGET, left);
+    board.render(now)
+}
+
 fn report<D, S>(host: &Host<D, S>, path: &str) -> Response<Full<Bytes>>
 where
     D: Dialect,
@@ -83,7 +103,7 @@
 {
     let mut response = Response::new(Full::default());
     match path {
-        "/metrics" => *response.body_mut() = Full::new(host.board.render(host.now()).into()),
+        "/metrics" => *response.body_mut() = Full::new(metrics(host).into()),
         _ if host.is_ready() => {}
         _ => *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/lentillift-gateway/src/log.rs
+++ b/crates/lentillift-gateway/src/log.rs
@@ -72,6 +72,19 @@
     }
 }
 
+/// Lines that all logs of this process have left out or dropped.
+static ALL_DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that all logs of this process have left out or dropped.
+pub fn all_dropped() -> u64 {
+    ALL_DROPPED.load(Ordering::Relaxed)
+}
+
+fn count_dropped(own: &AtomicU64, lines: u64) {
+    own.fetch_add(lines, Ordering::Relaxed);
+    ALL_DROPPED.fetch_add(lines, Ordering::Relaxed);
+}
+
 fn drain<W>(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut output: W)
 where
     W: Write,
@@ -93,7 +106,7 @@
             bytes.extend_from_slice(&line);
         }
         if left_out > 0 {
-            dropped.fetch_add(left_out, Ordering::Relaxed);
+            count_dropped(dropped, left_out);
             let line = format!("{{\"event\":\"log\",\"left_out\":{left_out}}}\n");
             bytes.extend_from_slice(line.as_bytes());
         }
@@ -105,7 +118,7 @@
 impl Write for Log {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         if self.lines.try_send(line.to_vec()).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            count_dropped(&self.dropped, 1);
         }
         Ok(line.len())
     }
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -21,7 +21,7 @@
 /// Repeated sends that the budget did not allow.
 pub const UNPAID: &str = "lentillift_gateway_repeats_refused_total";
 
-/// Calls to the service that publishes, by kind.
+/// Calls to the service that publishes, by kind and outcome.
 pub const SERVICE_CALLS: &str = "lentillift_gateway_service_calls_total";
 
 /// Connections of callers that were taken.
@@ -48,6 +48,15 @@
 /// How late timers fire on average.
 pub const LAG: &str = "lentillift_gateway_timer_lag_seconds";
 
+/// Bytes of this process in memory.
+pub const MEMORY: &str = "lentillift_gateway_memory_bytes";
+
+/// Lines that the log left out or dropped.
+pub const LOG_DROPPED: &str = "lentillift_gateway_log_lines_dropped";
+
+/// Repeated sends that the budgets of all services still allow this host.
+pub const BUDGET: &str = "lentillift_gateway_budget_left";
+
 /// Everything that is counted, shared by the tasks of one thread.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -60,6 +69,13 @@
         self.metrics.borrow_mut().add(name, &[("kind", kind)], 1);
     }
 
+    /// Counts one call of a kind, and whether it brought what was asked for.
+    pub fn call(&self, name: &'static str, kind: &'static str, succeeded: bool) {
+        let outcome = if succeeded { "ok" } else { "failed" };
+        let labels = [("kind", kind), ("outcome", outcome)];
+        self.metrics.borrow_mut().add(name, &labels, 1);
+    }
+
     /// Counts several events.
     pub fn add(&self, name: &'static str, count: u64) {
         self.metrics.borrow_mut().add(name, &[], count);
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -86,6 +86,10 @@
         "lentillift_gateway_backend_connections_opened",
         "Connections to backend servers opened since the start.",
     ),
+    (
+        "lentillift_gateway_budget_left",
+        "Repeated sends that the budgets of all services still allow this process now.",
+    ),
     (
         "lentillift_gateway_caller_connections_total",
         "Connections of callers that were taken.",
@@ -102,6 +106,14 @@
         "lentillift_gateway_hosts",
         "Hosts that may be at work, this one included.",
     ),
+    (
+        "lentillift_gateway_log_lines_dropped",
+        "Log lines left out or dropped since the start.",
+    ),
+    (
+        "lentillift_gateway_memory_bytes",
+        "Memory of the process, in bytes.",
+    ),
     (
         "lentillift_gateway_repeats_refused_total",
         "Repeated sends that the budget did not allow.",
@@ -124,7 +136,7 @@
     ),
     (
         "lentillift_gateway_service_calls_total",
-        "Calls to the service that publishes, by kind.",
+        "Calls to the service that publishes, by kind and outcome.",
     ),
     (
         "lentillift_gateway_timer_lag_seconds",
--- a/crates/lentillift-scatter/src/budget.rs
+++ b/crates/lentillift-scatter/src/budget.rs
@@ -110,6 +110,21 @@
         now: Time,
         purpose: Purpose,
     ) -> bool {
+        f64::from(1 + self.repeats(options, now)) <= self.usable(options, share, now, purpose)
+    }
+
+    /// Repeated sends that may still be made now, if they decide whether there is an answer.
+    pub fn left(&mut self, options: &Options, share: &Share, now: Time) -> f64 {
+        let usable = self.usable(options, share, now, Purpose::Answer);
+        (usable - f64::from(self.repeats(options, now))).max(0.0)
+    }
+
+    fn repeats(&mut self, options: &Options, now: Time) -> u32 {
+        self.current(options, now);
+        self.parts.iter().map(|part| part.repeats).sum()
+    }
+
+    fn usable(&mut self, options: &Options, share: &Share, now: Time, purpose: Purpose) -> f64 {
         let current = self.current(options, now).number;
         // A span that ends now begins inside the oldest part: its repeats may count, and its requests
         // may not.
@@ -118,17 +133,15 @@
             .iter()
             .filter(|part| part.number + u64::from(PARTS) > current);
         let requests: u32 = whole.map(|part| part.requests).sum();
-        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
         let extra = match share.is_settled(now, options.window) {
             true => share.of(options.extra),
             false => 0,
         };
         let allowed = f64::from(requests) * options.ratio + f64::from(extra);
-        let usable = match purpose {
+        match purpose {
             Purpose::Answer => allowed,
             Purpose::Part => allowed * PART_SHARE,
-        };
-        f64::from(repeats + 1) <= usable
+        }
     }
 }
 
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -267,6 +267,16 @@
         self.budget(service).refund(&options, now);
     }
 
+    /// What the budgets of all services still allow together.
+    pub fn budget_left(&mut self, now: Time) -> f64 {
+        let options = self.options.budget;
+        let share = self.share;
+        let budgets = self.budgets.values_mut();
+        budgets
+            .map(|budget| budget.left(&options, &share, now))
+            .sum()
+    }
+
     fn budget(&mut self, service: &id::Service) -> &mut Budget {
         if !self.budgets.contains_key(service) {
             self.budgets.insert(service.clone(), Budget::default());
--- a/crates/lentillift-scatter/tests/budgets.rs
+++ b/crates/lentillift-scatter/tests/budgets.rs
@@ -158,3 +158,22 @@
     let answers = (0..10).filter(|_| budget.spend(&OPTIONS, &share, now, Purpose::Answer));
     assert_eq!(answers.count(), 5);
 }
+
+/// Operators watch what is left: it shrinks with each repeat, to nothing and not below.
+#[test]
+fn what_is_left_shrinks_to_nothing() {
+    let mut budget = Budget::default();
+    let share = share(1, Time::ZERO);
+    let now = Duration::from_secs(100);
+    for _ in 0..10 {
+        budget.earn(&OPTIONS, now);
+    }
+    let mut left = budget.left(&OPTIONS, &share, now);
+    assert!(left >= 2.0, "{left}");
+    while budget.spend(&OPTIONS, &share, now, Purpose::Answer) {
+        let less = budget.left(&OPTIONS, &share, now);
+        assert!((left - less - 1.0).abs() < 1e-9, "{left}, then {less}");
+        left = less;
+    }
+    assert!((0.0..1.0).contains(&left), "{left}");
+}
