--- a/crates/lentillift-scatter/src/catalog.rs
+++ b/crates/lentillift-scatter/src/catalog.rs
@@ -21,10 +21,12 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Changes that are kept to be passed on; a follower that is further behind gets everything.
+/// Changes that are kept to be passed on at least, or as many as there are items; a follower that is
+/// further behind gets everything.
 const HISTORY: usize = 512;
 
 /// Removed keys whose revision is remembered, so that older news of them is not taken in.
@@ -112,7 +114,13 @@
     grace: Option<Grace>,
     // INVARIANT: All changes up to here have been taken in.
     revision: id::Revision,
-    history: Vec<Item>,
+    /// The latest changes. A full read adds what it found changed: whoever knew everything before it
+    /// needs no more than that.
+    ///
+    /// The service forgets its history for some seconds, and each watch ends in a full read. Were
+    /// followers then told everything each time, the links of a fleet of ninety hosts were busy with
+    /// it, and a new configuration came into force after six seconds in place of one.
+    history: VecDeque<Item>,
     /// Revision after which `history` is complete.
     history_after: id::Revision,
 }
@@ -168,14 +176,19 @@
             .filter(|(key, held)| !present.contains(*key) && held.revision <= revision)
             .map(|(key, _)| key.clone())
             .collect();
+        let first = self.revision == 0;
         for key in gone {
             self.remove(now, &key, revision, changes);
+            self.remember(Item {
+                key,
+                revision,
+                value: None,
+            });
         }
         for item in items {
             self.put(now, item, &decode, changes);
         }
-        // Changes between two full reads were not seen one by one.
-        if revision > self.revision {
+        if first {
             self.history.clear();
             self.history_after = revision;
         }
@@ -283,11 +296,12 @@
     }
 
     fn remember(&mut self, item: Item) {
-        if self.history.len() >= HISTORY {
-            let dropped = self.history.remove(0);
+        if self.history.len() >= HISTORY.max(self.held.len())
+            && let Some(dropped) = self.history.pop_front()
+        {
             self.history_after = self.history_after.max(dropped.revision);
         }
-        self.history.push(item);
+        self.history.push_back(item);
     }
 
     /// Forgets backend servers that may not be asked any more; says whether there were any.
--- a/crates/lentillift-scatter/tests/beliefs.rs
+++ b/crates/lentillift-scatter/tests/beliefs.rs
@@ -249,6 +249,25 @@
     assert!(matches!(catalog.news(4), Some(News::All { .. })));
 }
 
+/// The service forgets its history for some seconds, and the reader reads everything each time. A follower
+/// that knew what was there before is told what changed, not everything: that would take the links of
+/// a large fleet for seconds, and callers would be served by an old configuration meanwhile.
+#[test]
+fn after_a_full_read_followers_get_what_changed() {
+    let (x, y) = (put("b-x", 2, &[1, 0]), put("b-y", 3, &[1, 0]));
+    let (old, new) = (put("c", 1, &[1]), put("c", 8, &[2]));
+    let catalog = told(vec![
+        all(3, vec![old.clone(), x, y.clone()]),
+        all(9, vec![new.clone(), y.clone()]),
+    ]);
+    let news = catalog.news(3).expect("it misses something");
+    assert_eq!(news, changes(9, vec![gone("b-x", 9), new]));
+    assert!(matches!(catalog.news(2), Some(News::All { .. })));
+    let mut follower = told(vec![all(3, vec![old, put("b-x", 2, &[1, 0]), y])]);
+    follower.learn(NOON, news, GRACE, decode);
+    assert_eq!(follower.view(), catalog.view());
+}
+
 /// One published history.
 fn history() -> impl Strategy<Value = Vec<Item>> {
     let item = (0usize..4, any::<bool>(), 1u8..5);
