Let answers leave by the way of the caller that waits for them

Change: a caller says how long it waits, so its first request on a connection tells its round trip, which holds for the connection; others of the host are assumed to be at the mean of those that told. Ruled out: lag of timers (it is in the margin already); slow processors (late by a hair on all hosts).

--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -29,6 +29,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use lentillift_scatter::caller::Caller;
 use lentillift_scatter::config::Limits;
 use lentillift_scatter::config::Route;
 use lentillift_scatter::config::Target;
@@ -36,6 +37,7 @@
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::record;
 use lentillift_scatter::view::View;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -115,7 +117,8 @@
     let limits = limits(&host);
     let mut stage = host.stage.subscribe();
     let shared = host.clone();
-    let service = service_fn(move |request| respond(shared.clone(), request));
+    let caller = Rc::new(Cell::new(Caller::default()));
+    let service = service_fn(move |request| respond(shared.clone(), caller.clone(), request));
     // The library's one timeout covers the wait for a request as well as its head.
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -136,13 +139,14 @@
 
 async fn respond<D, S>(
     host: Rc<Host<D, S>>,
+    caller: Rc<Cell<Caller>>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible>
 where
     D: Dialect,
     S: Source,
 {
-    let mut response = answer(&host, request).await;
+    let mut response = answer(&host, &caller, request).await;
     if *host.stage.borrow() >= Stage::Leaving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -159,7 +163,11 @@
     left: Duration,
 }
 
-async fn answer<D, S>(host: &Rc<Host<D, S>>, request: Request<Incoming>) -> Response<Bytes>
+async fn answer<D, S>(
+    host: &Rc<Host<D, S>>,
+    caller: &Cell<Caller>,
+    request: Request<Incoming>,
+) -> Response<Bytes>
 where
     D: Dialect,
     S: Source,
@@ -182,7 +190,12 @@
     };
     let plan = {
         let mut core = host.core.borrow_mut();
-        Plan::new(&mut core, &route, &view, services, arrived, left)
+        let mut known = caller.get();
+        let plan = Plan::new(
+            &mut core, &mut known, &route, &view, services, arrived, left,
+        );
+        caller.set(known);
+        plan
     };
     let id = message.id.clone();
     let done = run::run(host, plan, Rc::new(message), authority).await;
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -4,6 +4,7 @@
 use crate::book::Around;
 use crate::book::Book;
 use crate::budget;
+use crate::caller::Usual;
 use crate::config::Route;
 use crate::host::Hosts;
 use crate::ledger::Ledger;
@@ -76,13 +77,6 @@
 /// Part of the objective that a reply is held to take before any was seen.
 const FIRST_TYPICAL: f64 = 0.12;
 
-/// Time to callers and back that is assumed before any has told.
-const FIRST_PATH: Duration = Duration::from_millis(7);
-
-/// Quantile of the time that callers spent before their request: the lower ones are those who opened a
-/// connection and nothing else, which takes one round trip.
-const PATH_QUANTILE: f64 = 0.3;
-
 /// Reply times of one route's sends.
 #[derive(Debug, Clone, Copy)]
 pub struct Pace {
@@ -152,8 +146,8 @@
     pub book: Book,
     /// Other hosts.
     pub hosts: Hosts,
-    /// Time from a caller to this host and back.
-    path: Duration,
+    /// How far away callers are that have not told.
+    pub callers: Usual,
     /// How late this host's timers fire.
     pub lag: Lag,
     ledger: Ledger,
@@ -184,7 +178,7 @@
             view: None,
             book: Book::default(),
             hosts: Hosts::default(),
-            path: FIRST_PATH,
+            callers: Usual::default(),
             lag: Lag::default(),
             ledger: Ledger::default(),
             patience: HashMap::new(),
@@ -234,18 +228,10 @@
         };
         *most = left.max(*most);
         let spent = most.saturating_sub(left);
-        if spent >= route.objective / 2 {
-            return Duration::ZERO;
-        }
-        if spent > Duration::ZERO {
-            self.path = quantile::step(self.path, spent, PATH_QUANTILE);
+        match spent < route.objective / 2 {
+            true => spent,
+            false => Duration::ZERO,
         }
-        spent
-    }
-
-    /// Time from a caller to this host and back, as first connections take it.
-    pub fn path(&self) -> Duration {
-        self.path
     }
 
     /// Notes the first send of a request for a service.
--- a/crates/lentillift-scatter/src/lib.rs
+++ b/crates/lentillift-scatter/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod book;
 pub mod budget;
+pub mod caller;
 pub mod catalog;
 pub mod config;
 pub mod core;
--- a/crates/lentillift-scatter/src/plan.rs
+++ b/crates/lentillift-scatter/src/plan.rs
@@ -1,5 +1,6 @@
 //! What is asked, and what makes an answer.
 
+use crate::caller::Caller;
 use crate::config::Route;
 use crate::config::Target;
 use crate::core::Core;
@@ -35,9 +36,10 @@
 }
 
 impl Plan {
-    /// A plan for a caller's request that arrived at `now` and has `left` to be answered.
+    /// A plan for a request of `caller` that arrived at `now` and has `left` to be answered.
     pub fn new(
         core: &mut Core,
+        caller: &mut Caller,
         route: &Arc<Route>,
         view: &Arc<View>,
         services: Vec<id::Service>,
@@ -46,7 +48,8 @@
     ) -> Self {
         let objective = route.objective;
         let spent = core.spent(route, left);
-        let margin = core.options.margin + core.path() + core.lag.mean();
+        caller.note(&mut core.callers, spent, objective);
+        let margin = core.options.margin + caller.path(&core.callers) + core.lag.mean();
         let margin = margin.min(objective / 3);
         let coverage = match &route.target {
             Target::Scatter(scatter) => scatter.coverage,
--- /dev/null
+++ b/crates/lentillift-scatter/tests/callers.rs
@@ -0,0 +1,83 @@
+//! Callers at different distances: an answer has to leave in time for the one that waits for it.
+
+mod common;
+
+use common::MS;
+use common::NOON;
+use common::core;
+use common::route;
+use common::scatter;
+use common::server;
+use common::view;
+use lentillift_scatter::caller::Caller;
+use lentillift_scatter::config::Kind;
+use lentillift_scatter::core::Core;
+use lentillift_scatter::plan::Plan;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time that a caller says it waits if it has spent nothing.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+fn host() -> Core {
+    let route = route(scatter(1, 1.0), Kind::Idempotent);
+    core(view(route, vec![server("b", "s0", "a")]))
+}
+
+/// When an answer to a request on this connection leaves at the latest, after its arrival.
+fn leaves(core: &mut Core, caller: &mut Caller, spent: Duration) -> Duration {
+    let view = core.view.clone().expect("a view");
+    let route = view.config.routes().next().cloned().expect("a route");
+    let services = vec!["s0".into()];
+    let plan = Plan::new(
+        core,
+        caller,
+        &route,
+        &Arc::clone(&view),
+        services,
+        NOON,
+        PATIENCE - spent,
+    );
+    plan.soft - NOON
+}
+
+/// A caller is six milliseconds away, and most others of its host are close by. Its answers are held until
+/// the last moment for a close one, and reach it a few milliseconds after the objective, each time.
+#[test]
+fn answers_leave_in_time_for_near_and_far_callers_of_one_host() {
+    let mut core = host();
+    let (mut near, mut far) = (Caller::default(), Caller::default());
+    leaves(&mut core, &mut Caller::default(), Duration::ZERO);
+    leaves(&mut core, &mut near, MS);
+    leaves(&mut core, &mut far, MS * 13);
+    for _ in 0..50 {
+        leaves(&mut core, &mut Caller::default(), MS);
+    }
+    let near = leaves(&mut core, &mut near, Duration::ZERO);
+    let far = leaves(&mut core, &mut far, Duration::ZERO);
+    assert_eq!(near - far, MS * 12);
+    assert!(far <= MS * (100 - 13), "{far:?}");
+}
+
+/// A caller's first request took up most of its time at another host and was refused. It is not half an
+/// objective away; taken for that, its answers would lack parts for as long as the connection lasts.
+#[test]
+fn a_caller_that_comes_again_is_not_held_for_far_away() {
+    let mut core = host();
+    let mut again = Caller::default();
+    leaves(&mut core, &mut Caller::default(), Duration::ZERO);
+    let usual = leaves(&mut core, &mut Caller::default(), Duration::ZERO);
+    leaves(&mut core, &mut again, MS * 45);
+    assert_eq!(leaves(&mut core, &mut again, Duration::ZERO), usual);
+}
+
+/// Callers that never opened a connection to be measured are served by what others of this host told.
+#[test]
+fn what_callers_tell_is_assumed_of_those_that_have_not() {
+    let mut core = host();
+    leaves(&mut core, &mut Caller::default(), Duration::ZERO);
+    for _ in 0..50 {
+        leaves(&mut core, &mut Caller::default(), MS * 13);
+    }
+    assert!(core.callers.path().abs_diff(MS * 13) < MS);
+}
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -12,6 +12,7 @@
 use common::view;
 use lentillift_core::id::Service;
 use lentillift_core::time::Time;
+use lentillift_scatter::caller::Caller;
 use lentillift_scatter::config::Kind;
 use lentillift_scatter::config::Route;
 use lentillift_scatter::core::Core;
@@ -63,7 +64,15 @@
         split => vec![split.service("id").expect("a service").clone()],
     };
     let route = Arc::new(route);
-    let plan = Plan::new(core, &route, &view, services, NOON, patience);
+    let plan = Plan::new(
+        core,
+        &mut Caller::default(),
+        &route,
+        &view,
+        services,
+        NOON,
+        patience,
+    );
     let mut now = NOON;
     let (mut query, first) = Query::start(core, plan, now);
     let mut due: BTreeMap<(Time, u64), Outcome> = BTreeMap::new();
@@ -156,7 +165,15 @@
     let mut core = core(view(route.clone(), servers));
     core.hosts.update([("h".into(), "b".into())]);
     let view = core.view.clone().expect("a view");
-    let plan = Plan::new(&mut core, &Arc::new(route), &view, names(5), NOON, PATIENCE);
+    let plan = Plan::new(
+        &mut core,
+        &mut Caller::default(),
+        &Arc::new(route),
+        &view,
+        names(5),
+        NOON,
+        PATIENCE,
+    );
     (core, plan)
 }
 
@@ -479,7 +496,15 @@
     for _ in 0..40 {
         // Long after the host was last held for late, so that it is asked again.
         now += Duration::from_secs(3);
-        let plan = Plan::new(&mut core, &route, &view, names(5), now, PATIENCE);
+        let plan = Plan::new(
+            &mut core,
+            &mut Caller::default(),
+            &route,
+            &view,
+            names(5),
+            now,
+            PATIENCE,
+        );
         let (mut query, first) = Query::start(&mut core, plan, now);
         let [send] = first.as_slice() else {
             panic!("one send: {first:?}");
@@ -566,7 +591,15 @@
         .update([("hb".into(), "b".into()), ("hc".into(), "c".into())]);
     let view = core.view.clone().expect("a view");
     let services = names(5);
-    let plan = Plan::new(&mut core, &Arc::new(route), &view, services, NOON, PATIENCE);
+    let plan = Plan::new(
+        &mut core,
+        &mut Caller::default(),
+        &Arc::new(route),
+        &view,
+        services,
+        NOON,
+        PATIENCE,
+    );
     let (_, sends) = Query::start(&mut core, plan, NOON);
     let [send] = sends.as_slice() else {
         panic!("one send: {sends:?}");
