--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -144,6 +144,13 @@
     let socket =
         Rc::new(socket.map_err(|e| Error::new(Step::Listen, format!("udp {}", settings.node), e))?);
     let host = make(&settings, dialect, source);
+    for mechanism in settings.tuning.options.switches.off() {
+        info!(
+            event = "start",
+            mechanism = mechanism.name(),
+            "switched off"
+        );
+    }
     info!(event = "start", host = %host.name, domain = %host.domain, front = %settings.front, "up");
     if let Some(address) = settings.metrics {
         let listener = bind(address).await?;
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -26,6 +26,7 @@
 use lentillift_scatter::query::Query;
 use lentillift_scatter::replica::Number;
 use lentillift_scatter::report::Report;
+use lentillift_scatter::switch::Mechanism;
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -153,7 +154,11 @@
 
     /// What this host has learnt of slow backend servers.
     pub fn reports(&self) -> Vec<Report> {
-        self.host.core.borrow().book.reports(self.host.now())
+        let core = self.host.core.borrow();
+        match core.options.switches.is_on(Mechanism::Reports) {
+            true => core.book.reports(self.host.now()),
+            false => Vec::new(),
+        }
     }
 
     /// The time.
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -16,6 +16,8 @@
 use crate::replica::Sign;
 use crate::server::Server;
 use crate::share::Share;
+use crate::switch::Mechanism;
+use crate::switch::Switches;
 use crate::view::View;
 use lentillift_core::id;
 use lentillift_core::time::Time;
@@ -50,6 +52,8 @@
     /// A host sends and reads one after the other, so a search of many shards takes as long as its
     /// slowest host is busy with it.
     pub direct: usize,
+    /// What an operator has switched off.
+    pub switches: Switches,
 }
 
 impl Default for Options {
@@ -70,6 +74,7 @@
             hedge_by: 0.35,
             branches: true,
             direct: 32,
+            switches: Switches::default(),
         }
     }
 }
@@ -241,9 +246,19 @@
 
     /// Pays for a repeated send.
     pub fn spend(&mut self, service: &id::Service, now: Time, purpose: Purpose) -> bool {
-        let options = &self.options.budget;
-        self.ledger
-            .spend(options, &self.share, service, now, purpose)
+        let Options {
+            budget, switches, ..
+        } = &self.options;
+        // Without the reserve every repeat counts as one that decides about an answer.
+        let purpose = match switches.is_on(Mechanism::Reserve) {
+            true => purpose,
+            false => Purpose::Answer,
+        };
+        let allowed = switches.is_on(Mechanism::Repeats);
+        allowed
+            && self
+                .ledger
+                .spend(budget, &self.share, service, now, purpose)
     }
 
     /// Takes back a repeated send that never reached a backend server.
@@ -292,7 +307,7 @@
         let last = |server: &&Arc<Server>| server.last_resort_until.is_some_and(|at| now < at);
         let book = &mut self.book;
         let mut best = book.choose(&around, servers.iter().filter(may).filter(ready));
-        if best.is_none() {
+        if best.is_none() && self.options.switches.is_on(Mechanism::LastResort) {
             best = book.choose(&around, servers.iter().filter(may).filter(last));
         }
         if best.is_none() {
--- a/crates/lentillift-scatter/src/lib.rs
+++ b/crates/lentillift-scatter/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod server;
 pub mod share;
 pub mod source;
+pub mod switch;
 pub mod view;
--- a/crates/lentillift-scatter/src/plan.rs
+++ b/crates/lentillift-scatter/src/plan.rs
@@ -4,6 +4,7 @@
 use crate::config::Route;
 use crate::config::Target;
 use crate::core::Core;
+use crate::switch::Mechanism;
 use crate::view::View;
 use lentillift_core::id;
 use lentillift_core::time::Time;
@@ -49,7 +50,11 @@
         let objective = route.objective;
         let spent = core.spent(route, left);
         caller.note(&mut core.callers, spent, objective);
-        let margin = core.options.margin + caller.path(&core.callers) + core.lag.mean();
+        let path = match core.options.switches.is_on(Mechanism::CallerWay) {
+            true => caller.path(&core.callers),
+            false => core.callers.path(),
+        };
+        let margin = core.options.margin + path + core.lag.mean();
         let margin = margin.min(objective / 3);
         let coverage = match &route.target {
             Target::Scatter(scatter) => scatter.coverage,
@@ -62,11 +67,14 @@
             view: view.clone(),
             services,
             arrived: now,
-            soft: (now + objective.saturating_sub(margin + spent)).min(deadline),
+            soft: match core.options.switches.is_on(Mechanism::PartialAnswers) {
+                true => (now + objective.saturating_sub(margin + spent)).min(deadline),
+                false => deadline,
+            },
             deadline,
             coverage: Some(coverage),
             attempts: route.attempts,
-            branches: core.options.branches,
+            branches: core.options.branches && core.options.switches.is_on(Mechanism::Branches),
             near_only: false,
         }
     }
--- a/crates/lentillift-scatter/src/query/first.rs
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -10,6 +10,7 @@
 use crate::leg::Try;
 use crate::outcome::Send;
 use crate::server::Server;
+use crate::switch::Mechanism;
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use std::collections::BTreeMap;
@@ -32,6 +33,7 @@
         let view = &self.plan.view;
         let domain = self.plan.near_only.then(|| core.domain.clone());
         let near = |server: &Server| domain.as_ref().is_none_or(|d| server.entry.domain == *d);
+        let declines = core.options.switches.is_on(Mechanism::Declining);
         let legs = self.legs.iter();
         legs.map(|leg| {
             let choice = core.choose(view, &leg.service, typical, now, near)?;
@@ -39,7 +41,7 @@
             // server that is slow for good, each of its requests would need one, and the budget of that
             // shard would be gone within a second.
             let replica = core.book.get(&choice.server.entry.id);
-            let declined = self.plan.near_only && replica.is_slow(now);
+            let declined = self.plan.near_only && replica.is_slow(now) && declines;
             (!declined).then_some(choice)
         })
         .collect()
@@ -100,7 +102,7 @@
     /// Legs with a replica here that are too many for one host, by the hosts that share them.
     fn near_groups(&self, core: &Core, legs: Vec<usize>, now: Time) -> Vec<Branch> {
         let buckets = legs.len().div_ceil(core.options.direct.max(1));
-        if buckets < 2 {
+        if buckets < 2 || !core.options.switches.is_on(Mechanism::Owners) {
             return Vec::new();
         }
         let mut parts: BTreeMap<Bucket, Vec<usize>> = BTreeMap::new();
