--- a/crates/lentillift-scatter/tests/replicas.rs
+++ b/crates/lentillift-scatter/tests/replicas.rs
@@ -16,6 +16,7 @@
 use lentillift_scatter::replica::Sign;
 use lentillift_scatter::share::Place;
 use lentillift_scatter::share::Share;
+use std::sync::Arc;
 use std::time::Duration;
 
 const TYPICAL: Duration = Duration::from_millis(10);
@@ -196,3 +197,26 @@
     core.book.get(&"far".into()).sent(101, NOON + MS * 2);
     assert_eq!(choice(&mut core, NOON + MS * 3), "none");
 }
+
+/// A request was to go to a server, and a connection had to be opened first. Meanwhile the server's failure
+/// domain was evacuated, or the server has left for longer than it may be asked. Sent all the same, it
+/// reaches a server that is gone.
+#[test]
+fn a_send_that_waited_leaves_only_if_its_server_may_still_be_asked() {
+    let mut core = pair();
+    let near = server("near", "s0", "a");
+    assert!(core.may_leave(&near, NOON));
+    assert!(!core.may_leave(&server("gone", "s0", "a"), NOON));
+
+    let mut leaving = (*near).clone();
+    leaving.last_resort_until = Some(NOON + MS * 10);
+    let route = route(scatter(1, 1.0), Kind::Idempotent);
+    let mut latest = view(route, vec![Arc::new(leaving)]);
+    core.adopt(latest.clone());
+    assert!(core.may_leave(&near, NOON + MS * 9));
+    assert!(!core.may_leave(&near, NOON + MS * 10));
+
+    latest.evacuated.insert("a".into());
+    core.adopt(latest);
+    assert!(!core.may_leave(&near, NOON));
+}
