Name what a search for an origin says, and why an origin is left

Read once more: an alias of an option told less than the enum that was there before, and a renamed import hid a second name for the same thing. Behaviour stays.

--- a/crates/lentillift-fleet/src/follow.rs
+++ b/crates/lentillift-fleet/src/follow.rs
@@ -81,7 +81,7 @@
     }
 
     /// Age of knowledge at which another origin is tried: a watch, its slack and a heartbeat, which
-    /// leaves a third of the bound to find one.
+    /// leaves more than a third of the bound to find one.
     pub fn stale(&self) -> Duration {
         self.watch() + self.slack() + self.heartbeat()
     }
--- a/crates/lentillift-fleet/src/follow/search.rs
+++ b/crates/lentillift-fleet/src/follow/search.rs
@@ -12,7 +12,7 @@
 
 /// What to do next.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Step {
+pub enum Next {
     /// Learn from `origin`, and until then at most if it is not the best.
     Try {
         /// The origin.
@@ -51,7 +51,7 @@
     }
 
     /// What to do now, given where to learn, the best first.
-    pub fn next(&mut self, order: &[Origin], now: Time) -> Step {
+    pub fn next(&mut self, order: &[Origin], now: Time) -> Next {
         let early = self
             .service_failed
             .is_some_and(|at| now < at + SERVICE_PAUSE);
@@ -62,10 +62,10 @@
         let Some(origin) = usable.next().cloned() else {
             self.failed.clear();
             self.round += 1;
-            return Step::Pause;
+            return Next::Pause;
         };
         let is_best = order.first() == Some(&origin);
-        Step::Try {
+        Next::Try {
             origin,
             until: (!is_best).then(|| now + HOLD),
         }
--- a/crates/lentillift-fleet/tests/follow.rs
+++ b/crates/lentillift-fleet/tests/follow.rs
@@ -7,8 +7,8 @@
 use lentillift_fleet::follow::Options;
 use lentillift_fleet::follow::Origin;
 use lentillift_fleet::follow::search::Left;
+use lentillift_fleet::follow::search::Next;
 use lentillift_fleet::follow::search::Search;
-use lentillift_fleet::follow::search::Step;
 use lentillift_fleet::follow::way::MOST;
 use lentillift_fleet::follow::way::Refused;
 use lentillift_fleet::follow::way::Way;
@@ -179,14 +179,14 @@
         let now = self.now;
         let state = &mut self.nodes[node];
         state.task = match state.search.next(&order, now) {
-            Step::Pause => Task::Search {
+            Next::Pause => Task::Search {
                 at: now + OPTIONS.rest(),
             },
-            Step::Try {
+            Next::Try {
                 origin: Origin::Service,
                 until,
             } => Task::Read { until, next: now },
-            Step::Try { origin, until } => Task::Open {
+            Next::Try { origin, until } => Task::Open {
                 origin,
                 until,
                 by: now + OPTIONS.open(),
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -23,8 +23,8 @@
 use lentillift_fleet::follow::Candidate;
 use lentillift_fleet::follow::Origin;
 use lentillift_fleet::follow::search;
+use lentillift_fleet::follow::search::Next;
 use lentillift_fleet::follow::search::Search;
-use lentillift_fleet::follow::search::Step as Turn;
 use lentillift_fleet::follow::way::Way;
 use lentillift_scatter::source::News;
 use rand::Rng;
@@ -48,8 +48,13 @@
 /// one takes to join and to read everything.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-/// Why an origin is left; the cause, if it failed.
-type Left = Option<Error>;
+/// Why an origin is left.
+enum Left {
+    /// It failed, or its knowledge can't be relied on.
+    Failed(Error),
+    /// The best one should be tried again.
+    Again,
+}
 
 /// Learns until the process is over.
 pub async fn follow<D, S>(host: Rc<Host<D, S>>)
@@ -60,8 +65,8 @@
     tokio::time::sleep(JOIN).await;
     let mut search = Search::default();
     loop {
-        let step = search.next(&order(&host, search.round()), host.now());
-        let Turn::Try { origin, until } = step else {
+        let next = search.next(&order(&host, search.round()), host.now());
+        let Next::Try { origin, until } = next else {
             let pause = host.news.rest().mul_f64(rand::rng().random_range(0.5..1.0));
             tokio::time::sleep(pause).await;
             continue;
@@ -70,7 +75,7 @@
             Origin::Service => service(&host, until).await,
             Origin::Host(name) => subscribe(&host, name, until).await,
         };
-        let Some(error) = left else {
+        let Left::Failed(error) = left else {
             search.left(&origin, search::Left::Again, host.now());
             continue;
         };
@@ -128,7 +133,7 @@
     info!(event = "origin", origin = "service", "reading");
     loop {
         if is_over(host, &Origin::Service, until) {
-            return None;
+            return Left::Again;
         }
         let asked = host.now();
         let after = host.catalog.borrow().revision();
@@ -140,9 +145,9 @@
             Ok(Watched::Changes(news)) => news,
             Ok(Watched::Forgotten) => match read(host).await {
                 Ok(news) => news,
-                Err(error) => return Some(error),
+                Err(error) => return Left::Failed(error),
             },
-            Err(error) => return Some(error),
+            Err(error) => return Left::Failed(error),
         };
         let quiet = matches!(&news, News::Changes { items, .. } if items.is_empty());
         let age = match quiet {
@@ -193,25 +198,25 @@
     let began = host.now();
     let mut reader = match open(host, name).await {
         Ok(reader) => reader,
-        Err(error) => return Some(error),
+        Err(error) => return Left::Failed(error),
     };
     let mut patience = host.news.open();
     loop {
         if is_over(host, &origin, until) {
-            return None;
+            return Left::Again;
         }
         let frame = match reader.next(patience).await {
             Ok(frame) => frame,
-            Err(error) => return Some(error),
+            Err(error) => return Left::Failed(error),
         };
         patience = host.news.frame();
         if let Err(error) = hear(host, name, frame) {
-            return Some(error);
+            return Left::Failed(error);
         }
         let patient = host.age().is_none() && host.now() < began + PATIENCE;
         if !patient && host.age().is_none_or(|age| age > host.news.stale()) {
             let old = format!("knowledge is {:?} old", host.age());
-            return Some(Error::new(Step::Check, name, old));
+            return Left::Failed(Error::new(Step::Check, name, old));
         }
     }
 }
