Tell how large and how slow news between hosts is

A host that gave its origin up said the same whether the origin was silent or in the middle of a large message, and nothing told how much a host sends to how many followers, so that hypotheses on a late configuration could not be told apart. Now metrics count followers and bytes of news told and heard, a message that took over 100 ms has a line, and the error tells the bytes of an unfinished message.

--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -48,6 +48,9 @@
 /// one takes to join and to read everything.
 const PATIENCE: Duration = Duration::from_millis(500);
 
+/// Time to take in one message beyond which its size is logged.
+const SLOW_MESSAGE: Duration = Duration::from_millis(100);
+
 /// Why an origin is left.
 enum Left {
     /// It failed, or its knowledge can't be relied on.
@@ -210,6 +213,9 @@
             Err(error) => return Left::Failed(error),
         };
         patience = host.news.frame();
+        if frame.news.is_some() {
+            note_size(host, name, reader.last());
+        }
         if let Err(error) = hear(host, name, frame) {
             return Left::Failed(error);
         }
@@ -221,6 +227,19 @@
     }
 }
 
+/// Counts what was told, and logs what took long: links that are full show here.
+fn note_size<D, S>(host: &Host<D, S>, name: &id::Host, size: frame::Size)
+where
+    D: Dialect,
+    S: Source,
+{
+    host.board.add(metric::NEWS_HEARD, size.bytes as u64);
+    if size.took >= SLOW_MESSAGE {
+        let took_ms = size.took.as_millis() as u64;
+        info!(event = "news", from = %name, bytes = size.bytes, took_ms, "heard");
+    }
+}
+
 /// Takes in what another host tells, unless its knowledge can't be relied on.
 fn hear<D, S>(host: &Host<D, S>, name: &id::Host, frame: Frame) -> Result<()>
 where
@@ -275,6 +294,7 @@
     D: Dialect,
     S: Source,
 {
+    host.followers.set(host.followers.get() + 1);
     let changed = host.changed.subscribe();
     let stage = host.stage.subscribe();
     let feed = Feed {
@@ -290,7 +310,7 @@
     }))
 }
 
-/// What one follower is told.
+/// What one follower is told; counted as a follower for as long as it lasts.
 struct Feed<D, S> {
     host: Rc<Host<D, S>>,
     after: id::Revision,
@@ -299,6 +319,13 @@
     first: bool,
 }
 
+impl<D, S> Drop for Feed<D, S> {
+    fn drop(&mut self) {
+        let followers = &self.host.followers;
+        followers.set(followers.get().saturating_sub(1));
+    }
+}
+
 impl<D, S> Feed<D, S>
 where
     D: Dialect,
@@ -330,6 +357,10 @@
             away_ms: self.host.away().map(|age| age.as_millis() as u32),
             news: news.map(Notice::from),
         };
-        frame::frame(&message, "follower").ok()
+        let bytes = frame::frame(&message, "follower").ok()?;
+        if message.news.is_some() {
+            self.host.board.add(metric::NEWS_TOLD, bytes.len() as u64);
+        }
+        Some(bytes)
     }
 }
--- a/crates/lentillift-gateway/src/frame.rs
+++ b/crates/lentillift-gateway/src/frame.rs
@@ -17,6 +17,7 @@
 use std::convert::Infallible;
 use std::marker::PhantomData;
 use std::time::Duration;
+use tokio::time::Instant;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
 use tokio_util::codec::LengthDelimitedCodec;
@@ -95,9 +96,21 @@
     body: Incoming,
     buffer: BytesMut,
     codec: LengthDelimitedCodec,
+    /// When the first bytes of the message that is being read came.
+    began: Option<Instant>,
+    last: Size,
     kind: PhantomData<T>,
 }
 
+/// How large a message was.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Size {
+    /// Its length, in bytes.
+    pub bytes: usize,
+    /// Time from its first bytes to its last.
+    pub took: Duration,
+}
+
 impl<T> Reader<T>
 where
     T: Decode<()>,
@@ -109,10 +122,17 @@
             body,
             buffer: BytesMut::new(),
             codec: codec(),
+            began: None,
+            last: Size::default(),
             kind: PhantomData,
         }
     }
 
+    /// How large the last message was.
+    pub fn last(&self) -> Size {
+        self.last
+    }
+
     /// Whom the messages come from.
     pub fn peer(&self) -> &str {
         &self.peer
@@ -125,7 +145,14 @@
     /// When nothing comes in time, the stream ends, or the message is malformed.
     pub async fn next(&mut self, timeout: Duration) -> Result<T> {
         let next = tokio::time::timeout(timeout, self.whole()).await;
-        next.unwrap_or_else(|_| Err(Error::new(Step::Read, &self.peer, "nothing came in time")))
+        next.unwrap_or_else(|_| {
+            // Tells an origin that is silent from one whose message is too long for the link.
+            let cause = match self.buffer.len() {
+                0 => "nothing came in time".to_owned(),
+                bytes => format!("no whole message came in time, {bytes} bytes of one did"),
+            };
+            Err(Error::new(Step::Read, &self.peer, cause))
+        })
     }
 
     async fn whole(&mut self) -> Result<T> {
@@ -133,11 +160,17 @@
         loop {
             let whole = self.codec.decode(&mut self.buffer);
             if let Some(bytes) = whole.map_err(|e| fail(&e))? {
+                let began = self.began.take();
+                self.last = Size {
+                    bytes: bytes.len(),
+                    took: began.map_or(Duration::ZERO, |began| began.elapsed()),
+                };
                 return decode(&bytes, &self.peer);
             }
             let part = self.body.frame().await;
             let part = part.ok_or_else(|| fail(&"ended"))?.map_err(|e| fail(&e))?;
             if let Ok(data) = part.into_data() {
+                self.began.get_or_insert_with(Instant::now);
                 self.buffer.extend_from_slice(&data);
             }
         }
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -81,6 +81,8 @@
     pub roster: RefCell<Roster>,
     /// Connections of callers.
     pub callers: Cell<usize>,
+    /// Hosts that learn from this one what is published.
+    pub followers: Cell<usize>,
     /// Rises with every change of what is believed.
     pub changed: watch::Sender<u64>,
     /// How far this process has come.
--- a/crates/lentillift-gateway/src/listen.rs
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -90,6 +90,7 @@
     if let Some(bytes) = memory::resident() {
         board.gauge(metric::MEMORY, bytes as f64);
     }
+    board.gauge(metric::FOLLOWERS, host.followers.get() as f64);
     board.gauge(metric::LOG_DROPPED, log::all_dropped() as f64);
     let left = host.core.borrow_mut().budget_left(now);
     board.gauge(metric::BUDGET, left);
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -42,6 +42,15 @@
 /// Version of the configuration in force.
 pub const CONFIG: &str = "lentillift_gateway_config_version";
 
+/// Hosts that learn from this one what is published.
+pub const FOLLOWERS: &str = "lentillift_gateway_followers";
+
+/// Bytes of published state that were told to followers.
+pub const NEWS_TOLD: &str = "lentillift_gateway_news_told_bytes_total";
+
+/// Bytes of published state that were heard from other hosts.
+pub const NEWS_HEARD: &str = "lentillift_gateway_news_heard_bytes_total";
+
 /// Age of what is believed of the published state.
 pub const AGE: &str = "lentillift_gateway_age_seconds";
 
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -102,6 +102,10 @@
         "lentillift_gateway_datagrams_malformed_total",
         "Datagrams that could not be understood.",
     ),
+    (
+        "lentillift_gateway_followers",
+        "Hosts that learn from this one what is published.",
+    ),
     (
         "lentillift_gateway_hosts",
         "Hosts that may be at work, this one included.",
@@ -114,6 +118,14 @@
         "lentillift_gateway_memory_bytes",
         "Memory of the process, in bytes.",
     ),
+    (
+        "lentillift_gateway_news_heard_bytes_total",
+        "Bytes of published state that were heard from other hosts.",
+    ),
+    (
+        "lentillift_gateway_news_told_bytes_total",
+        "Bytes of published state that were told to followers.",
+    ),
     (
         "lentillift_gateway_repeats_refused_total",
         "Repeated sends that the budget did not allow.",
