Show with tests that a configuration that has grown comes into force too late

Symptom: callers are answered by a configuration that was replaced more than five seconds before, on hosts of the larger fleets, after an operator has added routes by the thousand.

--- a/crates/lentillift-fleet/src/follow.rs
+++ b/crates/lentillift-fleet/src/follow.rs
@@ -88,7 +88,7 @@
 }
 
 /// Where a host learns what is published.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Origin {
     /// From the service itself.
     Service,
--- a/crates/lentillift-fleet/tests/follow.rs
+++ b/crates/lentillift-fleet/tests/follow.rs
@@ -347,6 +347,23 @@
     }
 }
 
+/// What is published goes from host to host over their links. Were one host to send a copy to each of
+/// its failure domain, the last would wait for as many copies as there are hosts, whatever their number.
+#[test]
+fn nobody_is_followed_by_more_than_a_few() {
+    for each in [1, 2, 3, 15, 23, 95] {
+        let world = World::new(each);
+        let mut followers: BTreeMap<Origin, usize> = BTreeMap::new();
+        for node in 0..world.nodes.len() {
+            let origin = world.order(node).first().cloned().expect("an origin");
+            *followers.entry(origin).or_default() += 1;
+        }
+        let most = followers.values().max().copied();
+        assert!(most <= Some(6), "{most:?} followers with {each} a domain");
+        assert_eq!(followers.get(&Origin::Service), Some(&1));
+    }
+}
+
 #[test]
 fn a_way_over_oneself_or_beyond_reason_is_refused() {
     let host = |number: usize| -> id::Host { format!("h{number}").as_str().into() };
--- a/crates/lentillift-scatter/tests/beliefs.rs
+++ b/crates/lentillift-scatter/tests/beliefs.rs
@@ -393,3 +393,21 @@
         }
     }
 }
+
+/// The configuration is replaced twice while a follower is busy taking in what came before. Told each
+/// version whole, it spends the link on one that nobody will be served by, and the last one comes into
+/// force twice as late.
+#[test]
+fn a_follower_is_told_the_last_version_only() {
+    let mut catalog = told(vec![
+        all(3, vec![put("c", 2, &[1]), put("b-x", 3, &[1, 0])]),
+        changes(4, vec![put("c", 4, &[2])]),
+        changes(5, vec![put("b-x", 5, &[1, 1])]),
+        changes(6, vec![put("c", 6, &[3])]),
+    ]);
+    let items = vec![put("b-x", 5, &[1, 1]), put("c", 6, &[3])];
+    assert_eq!(catalog.news(3), Some(changes(6, items)));
+    catalog.learn(NOON, changes(8, vec![gone("b-x", 8)]), GRACE, decode);
+    let items = vec![put("c", 6, &[3]), gone("b-x", 8)];
+    assert_eq!(catalog.news(4), Some(changes(8, items)));
+}
