Wait for a message between hosts as long as it is coming

Cause: a follower gave its origin up when no whole message came for a third of the bound, though bytes of one were coming all the time.

Change: silence counts from the last bytes; a message may take the whole bound. Parts of searches keep their deadline. An origin that stops in the middle is given up as before.

--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -136,9 +136,11 @@
         S: Source,
     {
         let left = self.until.saturating_sub(host.now());
-        let answer = match self.reader.next(left).await {
-            Ok(answer) => answer,
-            Err(_) => return Told::without(Outcome::Broken, "host did not tell everything"),
+        let answer = match tokio::time::timeout(left, self.reader.next(left)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => {
+                return Told::without(Outcome::Broken, "host did not tell everything");
+            }
         };
         if !answer.slow.is_empty() {
             hear(host, &self.reader, &answer.slow);
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -208,7 +208,9 @@
         if is_over(host, &origin, until) {
             return Left::Again;
         }
-        let frame = match reader.next(patience).await {
+        let frame = tokio::time::timeout(host.news.bound, reader.next(patience)).await;
+        let slow = || Error::new(Step::Read, name, "a message took longer than the bound");
+        let frame = match frame.unwrap_or_else(|_| Err(slow())) {
             Ok(frame) => frame,
             Err(error) => return Left::Failed(error),
         };
--- a/crates/lentillift-gateway/tests/frames.rs
+++ b/crates/lentillift-gateway/tests/frames.rs
@@ -71,8 +71,10 @@
 }
 
 /// What is published has grown, and the link of whoever tells it is busy: the message takes longer than
-/// the silence after which an origin is given up. Its reader leaves in the middle, asks elsewhere for
-/// the whole again, and each try makes the links busier; news comes into force seconds late.
+/// the silence after which an origin is given up. Its reader left in the middle, asked elsewhere for
+/// the whole again, and each try made the links busier; news came into force seconds late. Lines of lost
+/// origins told of 177 messages that were left after 29 MB of them had come. Silence now counts from the
+/// last bytes that came.
 #[test]
 fn a_message_that_is_still_coming_is_not_silence() {
     run(async {
