Wait for an answer of the service as long as it is coming

The same cause as with messages between hosts, sought elsewhere: the host that reads for all gave a watch up when the whole answer had not come half the slack after it was due. Asked for again, it takes as long; were the link a little slower, no answer would ever come whole, and the whole fleet would serve the old configuration.

Change: a source is told how long the service may be silent, and an answer that is still coming is waited for, up to the bound.

--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -37,8 +37,8 @@
 /// Path of these requests; the revision that the follower knows comes after it.
 pub const PATH: &str = "/v2/feed/";
 
-/// Longest time to read everything.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest pause of the service while everything is read.
+const READ_SILENCE: Duration = Duration::from_secs(2);
 
 /// How long a process that starts waits for other hosts to turn up before it reads by itself: many
 /// round trips. Callers wait for it too when a whole fleet starts anew.
@@ -175,10 +175,8 @@
     S: Source,
 {
     let wait = host.news.watch();
-    let watch = host.source.watch(after, wait);
-    let watched = tokio::time::timeout(wait + host.news.slack(), watch).await;
-    let watched =
-        watched.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "watch timed out")));
+    let watch = host.source.watch(after, wait, host.news.slack());
+    let watched = within(wait + host.news.bound, watch).await;
     let board = &host.board;
     board.call(metric::SERVICE_CALLS, "watch", watched.is_ok());
     watched
@@ -188,12 +186,20 @@
 where
     S: Source,
 {
-    let read = tokio::time::timeout(READ_TIMEOUT, host.source.read()).await;
-    let read = read.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "read timed out")));
+    let read = within(host.news.bound, host.source.read(READ_SILENCE)).await;
     host.board.call(metric::SERVICE_CALLS, "read", read.is_ok());
     read
 }
 
+/// What a call to the service brings, unless its answer takes longer than `most` altogether.
+async fn within<T, C>(most: Duration, call: C) -> Result<T>
+where
+    C: Future<Output = Result<T>>,
+{
+    let brought = tokio::time::timeout(most, call).await;
+    brought.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "an answer took too long")))
+}
+
 /// Follows another host.
 async fn subscribe<D, S>(host: &Host<D, S>, name: &id::Host, until: Option<Time>) -> Left
 where
--- a/crates/lentillift-gateway/src/source.rs
+++ b/crates/lentillift-gateway/src/source.rs
@@ -18,20 +18,29 @@
 }
 
 /// A service that publishes items under keys, with revisions.
+///
+/// An answer that is still coming is waited for, however long it takes: large values over a busy link take
+/// longer than a service that is well lets one wait for its first word. How long a call may take
+/// altogether is up to the one who calls.
 pub trait Source: 'static {
-    /// Reads everything.
+    /// Reads everything; fails if nothing comes for `silence`.
     ///
     /// # Errors
     ///
-    /// When the service can't be reached, refuses, or its answer can't be understood.
-    fn read(&self) -> impl Future<Output = Result<News>>;
+    /// When the service can't be reached, refuses, falls silent, or its answer can't be understood.
+    fn read(&self, silence: Duration) -> impl Future<Output = Result<News>>;
 
-    /// Waits up to `wait` for changes after `after`.
+    /// Waits up to `wait` for changes after `after`; fails if nothing comes for `silence` after that.
     ///
     /// # Errors
     ///
     /// As for [`Source::read`].
-    fn watch(&self, after: id::Revision, wait: Duration) -> impl Future<Output = Result<Watched>>;
+    fn watch(
+        &self,
+        after: id::Revision,
+        wait: Duration,
+        silence: Duration,
+    ) -> impl Future<Output = Result<Watched>>;
 
     /// Says what an item means.
     fn decode(&self, item: &Item) -> Meaning;
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -97,14 +97,19 @@
 }
 
 impl Source for Memory {
-    async fn read(&self) -> Result<News> {
+    async fn read(&self, _silence: Duration) -> Result<News> {
         Ok(News::All {
             revision: 1,
             items: self.items.clone(),
         })
     }
 
-    async fn watch(&self, after: id::Revision, wait: Duration) -> Result<Watched> {
+    async fn watch(
+        &self,
+        after: id::Revision,
+        wait: Duration,
+        _silence: Duration,
+    ) -> Result<Watched> {
         tokio::time::sleep(wait).await;
         Ok(Watched::Changes(News::Changes {
             revision: after,
