Hold a watch no longer than knowledge stays fresh

Cause: a change that took long to come counts as up to the slack old, then the reader pauses, then the service held the next watch for its whole time.

--- a/crates/lentillift-fleet/src/follow.rs
+++ b/crates/lentillift-fleet/src/follow.rs
@@ -61,6 +61,15 @@
         self.bound / 3
     }
 
+    /// How long the service may hold the next watch, given the age of what is known: until that is as old as
+    /// it gets when nothing changes.
+    ///
+    /// What a change brought has been under way for a while and followers have taken it in for as long;
+    /// held for the whole time, a watch would return when they have left for other origins.
+    pub fn next_watch(&self, age: Duration) -> Duration {
+        self.watch().saturating_sub(age).max(self.pause())
+    }
+
     /// Time beyond it after which a watch is given up.
     pub fn slack(&self) -> Duration {
         self.bound / 6
--- a/crates/lentillift-fleet/tests/follow.rs
+++ b/crates/lentillift-fleet/tests/follow.rs
@@ -392,6 +392,20 @@
     }
 }
 
+/// A change has just come, over a link that was busy with it, and nothing changes after that. If the service
+/// holds the next watch for its whole time, what the reader knows is too old before it returns; all hosts
+/// leave origins that are well at the same moment, and some read the service themselves.
+#[test]
+fn knowledge_is_proved_again_in_time_after_a_change() {
+    let ages = [0, 1, 5, 10].map(|parts| OPTIONS.slack() * parts / 10);
+    for age in ages {
+        let asked = age + OPTIONS.pause();
+        let proved = asked + OPTIONS.next_watch(asked);
+        assert!(proved + OPTIONS.slack() <= OPTIONS.stale(), "{age:?}");
+    }
+    assert_eq!(OPTIONS.next_watch(Duration::ZERO), OPTIONS.watch());
+}
+
 /// What is published goes from host to host over their links. When one host sent a copy to each of its
 /// failure domain, the last waited for as many copies as there are hosts: callers there were answered by a
 /// configuration that had been replaced seconds before. Metrics showed the links of these hosts full while
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -172,9 +172,10 @@
 
 async fn wait<D, S>(host: &Host<D, S>, after: id::Revision) -> Result<Watched>
 where
+    D: Dialect,
     S: Source,
 {
-    let wait = host.news.watch();
+    let wait = host.news.next_watch(host.age().unwrap_or_default());
     let watch = host.source.watch(after, wait, host.news.slack());
     let watched = within(wait + host.news.bound, watch).await;
     let board = &host.board;
