Count the time that a message took into the age of what it tells

A message tells the age that its sender's knowledge had when it began; a large one is under way for seconds over a busy link, and whoever heard it held its knowledge for that much fresher than it was. Ages decide until when servers that leave are asked. That time is not held against the origin.

--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -225,14 +225,17 @@
             Err(error) => return Left::Failed(error),
         };
         patience = host.news.frame();
+        let size = reader.last();
         if frame.news.is_some() {
-            note_size(host, name, reader.last());
+            note_size(host, name, size);
         }
-        if let Err(error) = hear(host, name, frame) {
+        if let Err(error) = hear(host, name, frame, size.took) {
             return Left::Failed(error);
         }
         let patient = host.age().is_none() && host.now() < began + PATIENCE;
-        if !patient && host.age().is_none_or(|age| age > host.news.stale()) {
+        // That a message was long under way is not the origin's fault.
+        let allowed = host.news.stale() + size.took;
+        if !patient && host.age().is_none_or(|age| age > allowed) {
             let old = format!("knowledge is {:?} old", host.age());
             return Left::Failed(Error::new(Step::Check, name, old));
         }
@@ -252,8 +255,9 @@
     }
 }
 
-/// Takes in what another host tells, unless its knowledge can't be relied on.
-fn hear<D, S>(host: &Host<D, S>, name: &id::Host, frame: Frame) -> Result<()>
+/// Takes in what another host tells in a message that took so long to come, unless its knowledge can't be
+/// relied on.
+fn hear<D, S>(host: &Host<D, S>, name: &id::Host, frame: Frame, took: Duration) -> Result<()>
 where
     D: Dialect,
     S: Source,
@@ -265,7 +269,8 @@
         host.note_away(Duration::from_millis(ms.into()));
     }
     if let Some(ms) = frame.age_ms {
-        let age = Duration::from_millis(ms.into());
+        // The sender told the age that its knowledge had when the message began.
+        let age = Duration::from_millis(ms.into()) + took;
         let news = frame.news.map(|content| content.news(name)).transpose()?;
         host.learn(news, age);
     }
