--- a/crates/lentillift-gateway/tests/frames.rs
+++ b/crates/lentillift-gateway/tests/frames.rs
@@ -54,9 +54,9 @@
     tokio::task::spawn_local(connection);
     let request = Request::new(Empty::<Bytes>::new());
     let response = sender.send_request(request).await.expect("a response");
-    Reader::new("origin", response.into_body())
-        .next(silence)
-        .await
+    let mut reader: Reader<Large> = Reader::new("origin", response.into_body());
+    let message = reader.next(silence).await?;
+    Ok((message, reader.last()))
 }
 
 fn run<T>(test: T)
