Decline questions of other hosts that were held up on their way

The word that the caller had left goes the same way as the question and was held up as well, and a question says how much time is left, not how long it was under way.

Ruled out: that the question and its end came together and the end was read later. The end is looked at before a body is first asked for, so the lines of branches that ended in the moment they began sent nothing.

Change: a question carries its time by the clock of its host; the least difference to the clock here among the latest questions is that of one that was not held up. What was held up for a quarter of a second is declined, nothing is sent, and its host asks the backend servers itself. Restarts and clocks that stood still are told apart. Switch: late-questions.

--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -21,6 +21,7 @@
 use lentillift_core::error::Step;
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use lentillift_scatter::delay::Stamp;
 use lentillift_scatter::outcome::Brought;
 use lentillift_scatter::outcome::Outcome;
 use lentillift_scatter::outcome::Send;
@@ -93,8 +94,15 @@
     let Some(address) = address else {
         return Told::without(Outcome::Unreachable, "host is not known");
     };
-    let until = host.now() + send.left;
-    let Ok(body) = frame::encode(&wire::question(&send, services, authority, message), to) else {
+    let asked = host.now();
+    let until = asked + send.left;
+    let stamp = Stamp {
+        host: host.name.clone(),
+        incarnation: host.swim.borrow().own().incarnation,
+        at: asked,
+    };
+    let question = wire::question(&send, services, authority, message, &stamp);
+    let Ok(body) = frame::encode(&question, to) else {
         return Told::without(Outcome::Unreachable, "question can't be encoded");
     };
     let mut request = Request::new(Full::new(body));
--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -18,9 +18,12 @@
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_scatter::config::Target;
+use lentillift_scatter::delay;
+use lentillift_scatter::delay::Stamp;
 use lentillift_scatter::leg::State;
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::record;
+use lentillift_scatter::switch::Mechanism;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::info;
@@ -36,7 +39,8 @@
     S: Source,
 {
     let question: Question = frame::decode(body, "host")?;
-    let branch = Branch::start(host, question)?;
+    let delay = check_delay(host, &question)?;
+    let branch = Branch::start(host, question, delay)?;
     Ok(frame::body(stream::unfold(
         branch,
         |mut branch| async move {
@@ -46,6 +50,25 @@
     )))
 }
 
+/// How long a question was held up; declines one that was for so long that its caller may have left. The
+/// word of that would be held up as well, and backend servers would be at work for nobody.
+fn check_delay<D, S>(host: &Host<D, S>, question: &Question) -> Result<Duration>
+where
+    D: Dialect,
+    S: Source,
+{
+    let delay = host
+        .delays
+        .borrow_mut()
+        .note(&Stamp::from(question), host.now());
+    let switches = &host.core.borrow().options.switches;
+    if delay < delay::MOST || !switches.is_on(Mechanism::LateQuestions) {
+        return Ok(delay);
+    }
+    let cause = format!("question {} was held up for {delay:?}", question.id);
+    Err(Error::new(Step::Check, &question.from, cause))
+}
+
 /// Another host's question that is being answered.
 struct Branch<D, S>
 where
@@ -66,7 +89,7 @@
     D: Dialect,
     S: Source,
 {
-    fn start(host: &Rc<Host<D, S>>, question: Question) -> Result<Self> {
+    fn start(host: &Rc<Host<D, S>>, question: Question, delay: Duration) -> Result<Self> {
         let fail = |cause: &str| Error::new(Step::Check, "host", cause);
         let view = host.core.borrow().view.clone();
         let view = view.ok_or_else(|| fail("no configuration yet"))?;
@@ -84,7 +107,8 @@
             .iter()
             .map(|s| s.as_str().into())
             .collect();
-        let deadline = now + Duration::from_millis(question.left_ms.into());
+        let left = Duration::from_millis(question.left_ms.into());
+        let deadline = now + left.saturating_sub(delay);
         let told = vec![false; services.len()];
         let plan = Plan::branch(&route, &view, services, now, deadline);
         Ok(Self {
--- a/crates/lentillift-gateway/src/branch/wire.rs
+++ b/crates/lentillift-gateway/src/branch/wire.rs
@@ -9,6 +9,7 @@
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
+use lentillift_scatter::delay::Stamp;
 use lentillift_scatter::outcome::Send;
 use lentillift_scatter::report::Report;
 use std::time::Duration;
@@ -24,6 +25,12 @@
     /// Host that the caller named, by which the route is found.
     pub(super) authority: String,
     pub(super) services: Vec<String>,
+    /// Who asks.
+    pub(super) from: String,
+    /// The asking process, whose clock the next field goes by.
+    pub(super) incarnation: u64,
+    /// Time at which it was asked, by the asking process's clock.
+    pub(super) asked_us: u64,
     /// When to tell for the first time what is here.
     pub(super) first_ms: u32,
     /// When to give up.
@@ -79,12 +86,23 @@
     }
 }
 
-/// The question that a send makes of a caller's request.
+impl From<&Question> for Stamp {
+    fn from(question: &Question) -> Self {
+        Self {
+            host: question.from.as_str().into(),
+            incarnation: question.incarnation,
+            at: Duration::from_micros(question.asked_us),
+        }
+    }
+}
+
+/// The question that a send makes of a caller's request, asked at the time of `stamp`.
 pub(super) fn question(
     send: &Send,
     services: Vec<String>,
     authority: &str,
     message: &Message,
+    stamp: &Stamp,
 ) -> Question {
     let headers = message.headers.iter();
     let headers = headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
@@ -96,6 +114,9 @@
         body: message.body.to_vec(),
         authority: authority.to_owned(),
         services,
+        from: stamp.host.to_string(),
+        incarnation: stamp.incarnation,
+        asked_us: stamp.at.as_micros() as u64,
         first_ms: send.first.as_millis() as u32,
         left_ms: send.left.as_millis() as u32,
     }
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -26,6 +26,7 @@
 use lentillift_scatter::catalog::Catalog;
 use lentillift_scatter::core::Core;
 use lentillift_scatter::core::Options;
+use lentillift_scatter::delay::Delays;
 use lentillift_scatter::share::Place;
 use lentillift_scatter::share::Roster;
 use lentillift_scatter::share::Share;
@@ -222,6 +223,7 @@
         steady: Cell::new(true),
         way: RefCell::new(Way::default()),
         roster: RefCell::new(Roster::default()),
+        delays: RefCell::new(Delays::default()),
         callers: Cell::new(0),
         told: RefCell::new(None),
         followers: Cell::new(0),
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -17,6 +17,7 @@
 use lentillift_scatter::catalog::Catalog;
 use lentillift_scatter::catalog::Change;
 use lentillift_scatter::core::Core;
+use lentillift_scatter::delay::Delays;
 use lentillift_scatter::grace::Before;
 use lentillift_scatter::grace::Grace;
 use lentillift_scatter::share::Roster;
@@ -89,6 +90,8 @@
     pub way: RefCell<Way>,
     /// The hosts that bounds of the whole fleet are shared with.
     pub roster: RefCell<Roster>,
+    /// How long questions of other hosts are held up on their way.
+    pub delays: RefCell<Delays>,
     /// Connections of callers.
     pub callers: Cell<usize>,
     /// What followers were told last: most know the same and are told the same.
--- a/crates/lentillift-gateway/tests/hosts.rs
+++ b/crates/lentillift-gateway/tests/hosts.rs
@@ -21,6 +21,7 @@
 use lentillift_gateway::feed;
 use lentillift_gateway::front;
 use lentillift_gateway::listen;
+use lentillift_scatter::delay::Stamp;
 use lentillift_scatter::source::Item;
 use lentillift_scatter::source::News;
 use std::net::SocketAddr;
@@ -117,6 +118,30 @@
     });
 }
 
+/// A question was held up on its way for longer than a caller that has left may be worked for, as behind a
+/// full link. The host that is asked sends nothing and says so, and the backend servers are asked
+/// directly.
+#[test]
+fn a_question_that_was_held_up_is_declined() {
+    run(async {
+        let items = shards(['a', 'b', 'c', 'd', 'e'].map(record)).await;
+        let entry = start("entry", "a", items.clone()).await;
+        let helper = start("helper", "b", items).await;
+        introduce(&helper, &entry);
+        // An earlier question came ten seconds after it was asked less than the next one will.
+        let stamp = Stamp {
+            host: entry.name.clone(),
+            incarnation: entry.swim.borrow().own().incarnation,
+            at: entry.now() + Duration::from_secs(10),
+        };
+        helper.delays.borrow_mut().note(&stamp, helper.now());
+        let answer = ask(front(&entry).await, &get("/all/x", "i")).await;
+        assert_eq!(header(&answer, "x-missing").as_deref(), Some("0"));
+        assert!(counted(&entry, "sends_total{kind=\"far\"} 5"));
+        assert!(!counted(&helper, "sends_total"));
+    });
+}
+
 /// The host that is asked is gone, and nobody listens at its address.
 #[test]
 fn a_host_that_is_gone_is_gone_round() {
--- a/crates/lentillift-scatter/src/lib.rs
+++ b/crates/lentillift-scatter/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod catalog;
 pub mod config;
 pub mod core;
+pub mod delay;
 pub mod grace;
 pub mod host;
 pub mod ledger;
--- a/crates/lentillift-scatter/src/switch.rs
+++ b/crates/lentillift-scatter/src/switch.rs
@@ -43,6 +43,8 @@
     Reserve = "reserve",
     /// Answering by the distance of each caller.
     CallerWay = "caller-way",
+    /// Declining questions of other hosts that were held up on their way.
+    LateQuestions = "late-questions",
     /// Passing what is published on over several hosts of a failure domain.
     Relays = "relays",
     /// Packing what is published on its way between hosts.
