Divide the feed by its two ends, and count the time that an answer of the service took

What a host reads was taken to be at most the slack old. Since an answer that is still coming is waited for beyond that, it may be older; a source now tells how long its answer was under way. Found while reading the change; ages decide until when servers that leave are asked. The feed is divided into reading the service, following, and telling.

--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -1,16 +1,16 @@
 //! Learning what is published, from the service or from another host, and passing it on.
 
+mod service;
+pub mod tell;
+
 use crate::dialect::Dialect;
 use crate::frame;
 use crate::frame::Reader;
 use crate::host::Host;
-use crate::host::Stage;
 use crate::metric;
 use crate::notice::Frame;
 use crate::source::Source;
-use crate::source::Watched;
 use bytes::Bytes;
-use futures_util::stream;
 use http::Request;
 use http_body_util::Full;
 use lentillift_core::error::Error;
@@ -25,21 +25,16 @@
 use lentillift_fleet::follow::search::Next;
 use lentillift_fleet::follow::search::Search;
 use lentillift_fleet::follow::way::Way;
-use lentillift_scatter::source::News;
 use lentillift_scatter::switch::Mechanism;
 use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
 use tracing::info;
 use tracing::warn;
 
 /// Path of these requests; the revision that the follower knows comes after it.
 pub const PATH: &str = "/v2/feed/";
 
-/// Longest pause of the service while everything is read.
-const READ_SILENCE: Duration = Duration::from_secs(2);
-
 /// How long a process that starts waits for other hosts to turn up before it reads by itself: many
 /// round trips. Callers wait for it too when a whole fleet starts anew.
 const JOIN: Duration = Duration::from_millis(120);
@@ -75,7 +70,7 @@
             continue;
         };
         let left = match &origin {
-            Origin::Service => service(&host, until).await,
+            Origin::Service => service::service(&host, until).await,
             Origin::Host(name) => subscribe(&host, name, until).await,
         };
         let Left::Failed(error) = left else {
@@ -130,77 +125,6 @@
     }
 }
 
-/// Reads the service.
-async fn service<D, S>(host: &Host<D, S>, until: Option<Time>) -> Left
-where
-    D: Dialect,
-    S: Source,
-{
-    info!(event = "origin", origin = "service", "reading");
-    loop {
-        if is_over(host, &Origin::Service, until) {
-            return Left::Again;
-        }
-        let asked = host.now();
-        let after = host.catalog.borrow().revision();
-        let watched = match after {
-            0 => Ok(Watched::Forgotten),
-            after => wait(host, after).await,
-        };
-        let news = match watched {
-            Ok(Watched::Changes(news)) => news,
-            Ok(Watched::Forgotten) => match read(host).await {
-                Ok(news) => news,
-                Err(error) => return Left::Failed(error),
-            },
-            Err(error) => return Left::Failed(error),
-        };
-        let quiet = matches!(&news, News::Changes { items, .. } if items.is_empty());
-        let age = match quiet {
-            // Nothing had changed when the answer left.
-            true => Duration::ZERO,
-            false => host.now().saturating_sub(asked).min(host.news.slack()),
-        };
-        host.learn(Some(news), age);
-        host.steady.set(true);
-        host.take_way(Way::reader(&host.name));
-        if !quiet {
-            tokio::time::sleep(host.news.pause()).await;
-        }
-    }
-}
-
-async fn wait<D, S>(host: &Host<D, S>, after: id::Revision) -> Result<Watched>
-where
-    D: Dialect,
-    S: Source,
-{
-    let wait = host.news.next_watch(host.age().unwrap_or_default());
-    let watch = host.source.watch(after, wait, host.news.slack());
-    let watched = within(wait + host.news.bound, watch).await;
-    let board = &host.board;
-    board.call(metric::SERVICE_CALLS, "watch", watched.is_ok());
-    watched
-}
-
-async fn read<D, S>(host: &Host<D, S>) -> Result<News>
-where
-    S: Source,
-{
-    let read = within(host.news.bound, host.source.read(READ_SILENCE)).await;
-    host.board.call(metric::SERVICE_CALLS, "read", read.is_ok());
-    read
-}
-
-/// What a call to the service brings, unless its answer takes longer than `most` altogether.
-async fn within<T, C>(most: Duration, call: C) -> Result<T>
-where
-    C: Future<Output = Result<T>>,
-{
-    let brought = tokio::time::timeout(most, call).await;
-    brought.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "an answer took too long")))
-}
-
 /// Follows another host.
 async fn subscribe<D, S>(host: &Host<D, S>, name: &id::Host, until: Option<Time>) -> Left
 where
@@ -305,85 +229,3 @@
     }
     Ok(Reader::new(name, response.into_body()))
 }
-
-/// Tells a follower that knows everything up to `after` what changes.
-pub fn tell<D, S>(host: Rc<Host<D, S>>, after: id::Revision) -> frame::Body
-where
-    D: Dialect,
-    S: Source,
-{
-    host.followers.set(host.followers.get() + 1);
-    let changed = host.changed.subscribe();
-    let stage = host.stage.subscribe();
-    let feed = Feed {
-        host,
-        after,
-        changed,
-        stage,
-        first: true,
-    };
-    frame::body(stream::unfold(feed, |mut feed| async move {
-        let bytes = feed.next().await?;
-        Some((bytes, feed))
-    }))
-}
-
-/// What one follower is told; counted as a follower for as long as it lasts.
-struct Feed<D, S> {
-    host: Rc<Host<D, S>>,
-    after: id::Revision,
-    changed: watch::Receiver<u64>,
-    stage: watch::Receiver<Stage>,
-    first: bool,
-}
-
-impl<D, S> Drop for Feed<D, S> {
-    fn drop(&mut self) {
-        let followers = &self.host.followers;
-        followers.set(followers.get().saturating_sub(1));
-    }
-}
-
-impl<D, S> Feed<D, S>
-where
-    D: Dialect,
-    S: Source,
-{
-    /// The next frame, at once, after a change, or after a while; none when this process ends.
-    async fn next(&mut self) -> Option<Bytes> {
-        if !std::mem::take(&mut self.first) {
-            tokio::select! {
-                _ = self.changed.changed() => {}
-                _ = self.stage.wait_for(|stage| *stage >= Stage::Closing) => return None,
-                () = tokio::time::sleep(self.host.news.heartbeat()) => {}
-            }
-        }
-        match self.message() {
-            Ok(bytes) => Some(bytes),
-            Err(error) => {
-                warn!(event = "news", %error, "not told");
-                None
-            }
-        }
-    }
-
-    /// What there is to tell now.
-    fn message(&mut self) -> Result<Bytes> {
-        let host = &self.host;
-        let news = host.news_after(self.after)?;
-        let way = host.way.borrow();
-        let message = Frame {
-            age_ms: host.age().map(|age| age.as_millis() as u32),
-            steady: host.steady.get(),
-            way: way.hosts().iter().map(|host| host.to_string()).collect(),
-            away_ms: host.away().map(|age| age.as_millis() as u32),
-            news,
-        };
-        let bytes = frame::frame(&message, "follower")?;
-        if message.news.is_some() {
-            host.board.add(metric::NEWS_TOLD, bytes.len() as u64);
-        }
-        self.after = self.after.max(host.catalog.borrow().revision());
-        Ok(bytes)
-    }
-}
--- /dev/null
+++ b/crates/lentillift-gateway/src/feed/service.rs
@@ -0,0 +1,108 @@
+//! Reading the service that publishes.
+
+use super::Left;
+use super::is_over;
+use crate::dialect::Dialect;
+use crate::host::Host;
+use crate::metric;
+use crate::source::Brought;
+use crate::source::Source;
+use crate::source::Watched;
+use lentillift_core::error::Error;
+use lentillift_core::error::Result;
+use lentillift_core::error::Step;
+use lentillift_core::id;
+use lentillift_core::time::Time;
+use lentillift_fleet::follow::Origin;
+use lentillift_fleet::follow::way::Way;
+use lentillift_scatter::source::News;
+use std::time::Duration;
+use tracing::info;
+
+/// Longest pause of the service while everything is read.
+const READ_SILENCE: Duration = Duration::from_secs(2);
+
+/// Reads the service until it fails, or another origin is to be tried.
+pub(super) async fn service<D, S>(host: &Host<D, S>, until: Option<Time>) -> Left
+where
+    D: Dialect,
+    S: Source,
+{
+    info!(event = "origin", origin = "service", "reading");
+    loop {
+        if is_over(host, &Origin::Service, until) {
+            return Left::Again;
+        }
+        let (news, age) = match ask(host).await {
+            Ok(told) => told,
+            Err(error) => return Left::Failed(error),
+        };
+        let quiet = matches!(&news, News::Changes { items, .. } if items.is_empty());
+        host.learn(Some(news), age);
+        host.steady.set(true);
+        host.take_way(Way::reader(&host.name));
+        if !quiet {
+            tokio::time::sleep(host.news.pause()).await;
+        }
+    }
+}
+
+/// What there is to know beyond what is known here, and how old it is.
+async fn ask<D, S>(host: &Host<D, S>) -> Result<(News, Duration)>
+where
+    D: Dialect,
+    S: Source,
+{
+    let after = host.catalog.borrow().revision();
+    if after == 0 {
+        return read(host).await;
+    }
+    let asked = host.now();
+    let watched = watch(host, after).await?;
+    let Watched::Changes(news) = watched.content else {
+        return read(host).await;
+    };
+    let age = match &news {
+        // Nothing had changed when the answer left.
+        News::Changes { items, .. } if items.is_empty() => watched.took,
+        // The answer left some time after it was asked for, and at once after the change.
+        _ => (host.news.slack() + watched.took).min(host.now().saturating_sub(asked)),
+    };
+    Ok((news, age))
+}
+
+async fn watch<D, S>(host: &Host<D, S>, after: id::Revision) -> Result<Brought<Watched>>
+where
+    D: Dialect,
+    S: Source,
+{
+    let wait = host.news.next_watch(host.age().unwrap_or_default());
+    let watch = host.source.watch(after, wait, host.news.slack());
+    let watched = within(wait + host.news.bound, watch).await;
+    let board = &host.board;
+    board.call(metric::SERVICE_CALLS, "watch", watched.is_ok());
+    watched
+}
+
+/// Everything that is published, and how old it is.
+async fn read<D, S>(host: &Host<D, S>) -> Result<(News, Duration)>
+where
+    D: Dialect,
+    S: Source,
+{
+    let asked = host.now();
+    let read = within(host.news.bound, host.source.read(READ_SILENCE)).await;
+    host.board.call(metric::SERVICE_CALLS, "read", read.is_ok());
+    let read = read?;
+    let age = (host.news.slack() + read.took).min(host.now().saturating_sub(asked));
+    Ok((read.content, age))
+}
+
+/// What a call to the service brings, unless its answer takes longer than `most` altogether.
+async fn within<T, C>(most: Duration, call: C) -> Result<T>
+where
+    C: Future<Output = Result<T>>,
+{
+    let brought = tokio::time::timeout(most, call).await;
+    brought.unwrap_or_else(|_| Err(Error::new(Step::Read, "service", "an answer took too long")))
+}
--- a/crates/lentillift-gateway/src/listen.rs
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -164,7 +164,7 @@
     }
     let after = path.strip_prefix(feed::PATH);
     match after.and_then(|after| after.parse().ok()) {
-        Some(after) => Response::new(Either::Right(feed::tell(host, after))),
+        Some(after) => Response::new(Either::Right(feed::tell::tell(host, after))),
         None => bad().map(Either::Left),
     }
 }
--- a/crates/lentillift-gateway/src/source.rs
+++ b/crates/lentillift-gateway/src/source.rs
@@ -17,6 +17,15 @@
     Forgotten,
 }
 
+/// What a call brought.
+#[derive(Debug)]
+pub struct Brought<T> {
+    /// The content of the answer.
+    pub content: T,
+    /// Time from the first bytes of the answer to its last: the service knew no more when it began.
+    pub took: Duration,
+}
+
 /// A service that publishes items under keys, with revisions.
 ///
 /// An answer that is still coming is waited for, however long it takes: large values over a busy link take
@@ -28,7 +37,7 @@
     /// # Errors
     ///
     /// When the service can't be reached, refuses, falls silent, or its answer can't be understood.
-    fn read(&self, silence: Duration) -> impl Future<Output = Result<News>>;
+    fn read(&self, silence: Duration) -> impl Future<Output = Result<Brought<News>>>;
 
     /// Waits up to `wait` for changes after `after`; fails if nothing comes for `silence` after that.
     ///
@@ -40,7 +49,7 @@
         after: id::Revision,
         wait: Duration,
         silence: Duration,
-    ) -> impl Future<Output = Result<Watched>>;
+    ) -> impl Future<Output = Result<Brought<Watched>>>;
 
     /// Says what an item means.
     fn decode(&self, item: &Item) -> Meaning;
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -18,6 +18,7 @@
 use lentillift_gateway::dialect::Ran;
 use lentillift_gateway::front;
 use lentillift_gateway::host::Host;
+use lentillift_gateway::source::Brought;
 use lentillift_gateway::source::Source;
 use lentillift_gateway::source::Watched;
 use lentillift_scatter::budget;
@@ -96,12 +97,17 @@
     pub items: Vec<Item>,
 }
 
+fn at_once<T>(content: T) -> Brought<T> {
+    Brought {
+        content,
+        took: Duration::ZERO,
+    }
+}
+
 impl Source for Memory {
-    async fn read(&self, _silence: Duration) -> Result<News> {
-        Ok(News::All {
-            revision: 1,
-            items: self.items.clone(),
-        })
+    async fn read(&self, _silence: Duration) -> Result<Brought<News>> {
+        let items = self.items.clone();
+        Ok(at_once(News::All { revision: 1, items }))
     }
 
     async fn watch(
@@ -109,12 +115,12 @@
         after: id::Revision,
         wait: Duration,
         _silence: Duration,
-    ) -> Result<Watched> {
+    ) -> Result<Brought<Watched>> {
         tokio::time::sleep(wait).await;
-        Ok(Watched::Changes(News::Changes {
+        Ok(at_once(Watched::Changes(News::Changes {
             revision: after,
             items: Vec::new(),
-        }))
+        })))
     }
 
     fn decode(&self, item: &Item) -> Meaning {
