--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -273,6 +273,8 @@
     WriteAndClose(String),
     /// Writes them and resets the connection.
     WriteAndReset(String),
+    /// Writes them after a while and keeps the connection.
+    Pause(Duration, String),
     /// Writes nothing.
     Hang,
 }
@@ -328,6 +330,10 @@
                 socket.set_linger(Some(Duration::ZERO)).expect("linger");
                 return;
             }
+            Act::Pause(pause, text) => {
+                tokio::time::sleep(pause).await;
+                stream.write_all(&bytes(&text)).await.expect("written");
+            }
             Act::Hang => {}
         }
     }
