--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -10,6 +10,7 @@
 use crate::ledger::Ledger;
 use crate::ledger::Purpose;
 use crate::limit;
+use crate::loss::Loss;
 use crate::quantile;
 use crate::replica::Load;
 use crate::replica::Number;
@@ -151,6 +152,8 @@
     pub book: Book,
     /// Other hosts.
     pub hosts: Hosts,
+    /// Shards that other hosts were asked for in vain.
+    pub loss: Loss,
     /// How far away callers are that have not told.
     pub callers: Usual,
     /// How late this host's timers fire.
@@ -183,6 +186,7 @@
             view: None,
             book: Book::default(),
             hosts: Hosts::default(),
+            loss: Loss::default(),
             callers: Usual::default(),
             lag: Lag::default(),
             ledger: Ledger::default(),
@@ -244,6 +248,12 @@
         self.ledger.earn(&self.options.budget, service, now);
     }
 
+    /// Whether other hosts lose no more shards than repeats can make up for.
+    pub fn trusts_hosts(&self, now: Time) -> bool {
+        let switch = self.options.switches.is_on(Mechanism::Loss);
+        !switch || self.loss.share(now) <= self.options.budget.ratio
+    }
+
     /// Pays for a repeated send.
     pub fn spend(&mut self, service: &id::Service, now: Time, purpose: Purpose) -> bool {
         let Options {
--- a/crates/lentillift-scatter/src/lib.rs
+++ b/crates/lentillift-scatter/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ledger;
 pub mod leg;
 pub mod limit;
+pub mod loss;
 pub mod outcome;
 pub mod plan;
 pub mod quantile;
--- a/crates/lentillift-scatter/src/query/ended.rs
+++ b/crates/lentillift-scatter/src/query/ended.rs
@@ -91,6 +91,8 @@
         mut branch: Branch,
         outcome: Outcome,
     ) -> Vec<Send> {
+        // Whether the host itself told, rather than this one giving it up.
+        let is_told = matches!(outcome, Outcome::Branch(_));
         let brought = match outcome {
             Outcome::Branch(brought) => brought,
             Outcome::Unreachable => Brought {
@@ -109,6 +111,10 @@
         if !brought.done.is_empty() {
             branch.arrived(core, now);
         }
+        if is_told {
+            core.loss
+                .note(brought.done.len(), brought.failed.len(), now);
+        }
         let answered = branch.told || !brought.done.is_empty();
         let mut again = Vec::new();
         for leg in &brought.done {
--- a/crates/lentillift-scatter/src/query/first.rs
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -54,7 +54,8 @@
         choices: Vec<Option<Choice>>,
         now: Time,
     ) -> Vec<Send> {
-        let mut groups = match self.plan.branches && self.legs.len() > 1 {
+        let asks_hosts = self.plan.branches && self.legs.len() > 1 && core.trusts_hosts(now);
+        let mut groups = match asks_hosts {
             true => self.groups(core, &choices, now),
             false => Vec::new(),
         };
--- a/crates/lentillift-scatter/src/switch.rs
+++ b/crates/lentillift-scatter/src/switch.rs
@@ -43,6 +43,8 @@
     Reserve = "reserve",
     /// Answering by the distance of each caller.
     CallerWay = "caller-way",
+    /// Asking backend servers directly while other hosts lose too many shards.
+    Loss = "loss",
     /// Declining questions of other hosts that were held up on their way.
     LateQuestions = "late-questions",
     /// Passing what is published on over several hosts of a failure domain.
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -375,6 +375,64 @@
     assert_eq!(next.len(), 5, "directly: {next:?}");
 }
 
+/// Whether a search that begins at `now` goes to another host.
+fn asks_a_host(core: &mut Core, plan: &Plan, now: Time) -> bool {
+    let (_, first) = Query::start(core, plan.clone(), now);
+    first
+        .iter()
+        .any(|send| matches!(send.target, Target::Host { .. }))
+}
+
+/// Most backend servers turn half of their requests away for seconds. The host that is asked has one replica
+/// of each shard to send to and loses half of the shards; there are repeats for a fifth, and searches fail
+/// for want of a few. Sent directly, each goes round the servers that turned it away before. Once the
+/// servers are well again, hosts are asked as before.
+#[test]
+fn hosts_that_lose_more_than_repeats_make_up_for_are_not_asked() {
+    let (mut core, plan) = far_search();
+    let mut now = NOON;
+    for _ in 0..20 {
+        core.loss.note(90, 0, now);
+        now += MS * 1400;
+    }
+    assert!(asks_a_host(&mut core, &plan, now));
+    core.loss.note(47, 43, now);
+    assert!(!asks_a_host(&mut core, &plan, now + MS * 1400));
+    assert!(!asks_a_host(&mut core, &plan, now + MS * 4000));
+    let later = now + MS * 9000;
+    assert!(asks_a_host(&mut core, &plan, later));
+    core.loss.note(47, 43, later);
+    assert!(!asks_a_host(&mut core, &plan, later + MS * 1400));
+    let well = later + MS * 9000;
+    core.loss.note(90, 0, well);
+    assert!(asks_a_host(&mut core, &plan, well));
+}
+
+/// What a host that was asked tells of lost shards counts, what it declined or did not tell does not: it
+/// may have died, which says nothing of the servers.
+#[test]
+fn only_what_a_host_tells_counts_as_lost() {
+    let lost = |outcome: Outcome| {
+        let (mut core, plan) = far_search();
+        let (mut query, first) = Query::start(&mut core, plan, NOON);
+        let now = NOON + first[0].first;
+        query.ended(&mut core, now, first[0].number, outcome);
+        core.loss.share(now)
+    };
+    let brought = |declined: Vec<usize>, failed: Vec<usize>| {
+        Outcome::Branch(Brought {
+            done: vec![0, 1, 2],
+            declined,
+            failed,
+            last: true,
+        })
+    };
+    assert!(lost(brought(Vec::new(), vec![3, 4])) > 0.0);
+    assert_eq!(lost(brought(vec![3, 4], Vec::new())), 0.0);
+    assert_eq!(lost(Outcome::Broken), 0.0);
+    assert_eq!(lost(Outcome::Unreachable), 0.0);
+}
+
 fn way() -> impl Strategy<Value = Way> {
     prop_oneof![
         4 => (1u32..300).prop_map(|ms| Way::Replies(MS * ms)),
