--- a/crates/lentillift-node/src/gossip.rs
+++ b/crates/lentillift-node/src/gossip.rs
@@ -22,28 +22,21 @@
     health: Health,
 }
 
-/// See [`view::Stage`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
-pub enum Stage {
-    /// See [`view::Stage::Starting`].
-    Starting,
-    /// See [`view::Stage::Serving`].
-    Serving,
-    /// See [`view::Stage::Leaving`].
-    Leaving,
-    /// See [`view::Stage::Gone`].
-    Gone,
+mirror! {
+    Stage of view::Stage {
+        Starting,
+        Serving,
+        Leaving,
+        Gone,
+    }
 }
 
-/// See [`view::Health`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
-pub enum Health {
-    /// See [`view::Health::Alive`].
-    Alive,
-    /// See [`view::Health::Suspect`].
-    Suspect,
-    /// See [`view::Health::Dead`].
-    Dead,
+mirror! {
+    Health of view::Health {
+        Alive,
+        Suspect,
+        Dead,
+    }
 }
 
 /// See [`value::Mark`].
@@ -307,6 +300,3 @@
         })
     }
 }
-
-mirror!(view::Stage, Stage, Starting, Serving, Leaving, Gone);
-mirror!(view::Health, Health, Alive, Suspect, Dead);
--- a/crates/lentillift-node/src/mirror.rs
+++ b/crates/lentillift-node/src/mirror.rs
@@ -1,9 +1,20 @@
-//! Conversions between enums that have the same variants.
+//! Enums of the wire that have the same variants, without data, as one of the decisions.
 
-/// Writes the conversions, both ways, between two enums with the same unit variants.
+/// Declares a wire enum with the variants of another enum, and converts either way.
+///
+/// A variant that is missing on one side does not compile. Their order is that of the wire.
 macro_rules! mirror {
-    ($domain:ty, $wire:ty, $($variant:ident),+) => {
-        impl From<$domain> for $wire {
+    ($name:ident of $domain:ty { $($variant:ident,)+ }) => {
+        #[doc = concat!("See [`", stringify!($domain), "`].")]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+        pub enum $name {
+            $(
+                #[doc = concat!("See [`", stringify!($domain), "::", stringify!($variant), "`].")]
+                $variant,
+            )+
+        }
+
+        impl From<$domain> for $name {
             fn from(value: $domain) -> Self {
                 match value {
                     $(<$domain>::$variant => Self::$variant,)+
@@ -11,10 +22,10 @@
             }
         }
 
-        impl From<$wire> for $domain {
-            fn from(value: $wire) -> Self {
+        impl From<$name> for $domain {
+            fn from(value: $name) -> Self {
                 match value {
-                    $(<$wire>::$variant => Self::$variant,)+
+                    $($name::$variant => Self::$variant,)+
                 }
             }
         }
--- a/crates/lentillift-node/src/once.rs
+++ b/crates/lentillift-node/src/once.rs
@@ -59,49 +59,22 @@
     Unknown(u64),
 }
 
-/// See [`refusal::Cause`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
-pub enum Cause {
-    /// See [`refusal::Cause::UnknownService`].
-    UnknownService,
-    /// See [`refusal::Cause::UnknownCaller`].
-    UnknownCaller,
-    /// See [`refusal::Cause::Malformed`].
-    Malformed,
-    /// See [`refusal::Cause::Allowance`].
-    Allowance,
-    /// See [`refusal::Cause::Overload`].
-    Overload,
-    /// See [`refusal::Cause::Stale`].
-    Stale,
-    /// See [`refusal::Cause::Leaving`].
-    Leaving,
-    /// See [`refusal::Cause::NoSnapshot`].
-    NoSnapshot,
-    /// See [`refusal::Cause::Coverage`].
-    Coverage,
-    /// See [`refusal::Cause::Closed`].
-    Closed,
-    /// See [`refusal::Cause::Mismatch`].
-    Mismatch,
+mirror! {
+    Cause of refusal::Cause {
+        UnknownService,
+        UnknownCaller,
+        Malformed,
+        Allowance,
+        Overload,
+        Stale,
+        Leaving,
+        NoSnapshot,
+        Coverage,
+        Closed,
+        Mismatch,
+    }
 }
 
-mirror!(
-    refusal::Cause,
-    Cause,
-    UnknownService,
-    UnknownCaller,
-    Malformed,
-    Allowance,
-    Overload,
-    Stale,
-    Leaving,
-    NoSnapshot,
-    Coverage,
-    Closed,
-    Mismatch
-);
-
 impl From<submit::Submit> for Submit {
     fn from(submit: submit::Submit) -> Self {
         Self {
--- a/crates/lentillift-node/src/wire.rs
+++ b/crates/lentillift-node/src/wire.rs
@@ -66,13 +66,11 @@
     hedge: bool,
 }
 
-/// See [`sub::Desk`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
-pub enum Desk {
-    /// See [`sub::Desk::Query`].
-    Query,
-    /// See [`sub::Desk::Once`].
-    Once,
+mirror! {
+    Desk of sub::Desk {
+        Query,
+        Once,
+    }
 }
 
 /// See [`sub::Work`].
@@ -114,38 +112,26 @@
     json: String,
 }
 
-/// See [`sub::Failure`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
-pub enum Failure {
-    /// See [`sub::Failure::Refused`].
-    Refused,
-    /// See [`sub::Failure::Cold`].
-    Cold,
-    /// See [`sub::Failure::SnapshotGone`].
-    SnapshotGone,
-    /// See [`sub::Failure::NotOwner`].
-    NotOwner,
-    /// See [`sub::Failure::Out`].
-    Out,
-    /// See [`sub::Failure::Shed`].
-    Shed,
-    /// See [`sub::Failure::Connection`].
-    Connection,
-    /// See [`sub::Failure::Timeout`].
-    Timeout,
-    /// See [`sub::Failure::Malformed`].
-    Malformed,
+mirror! {
+    Failure of sub::Failure {
+        Refused,
+        Cold,
+        SnapshotGone,
+        NotOwner,
+        Out,
+        Shed,
+        Connection,
+        Timeout,
+        Malformed,
+    }
 }
 
-/// See [`outcome::Outcome`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
-pub enum Outcome {
-    /// See [`outcome::Outcome::Done`].
-    Done,
-    /// See [`outcome::Outcome::NotRun`].
-    NotRun,
-    /// See [`outcome::Outcome::Unknown`].
-    Unknown,
+mirror! {
+    Outcome of outcome::Outcome {
+        Done,
+        NotRun,
+        Unknown,
+    }
 }
 
 impl From<message::Message> for Message {
@@ -367,19 +353,3 @@
         })
     }
 }
-
-mirror!(sub::Desk, Desk, Query, Once);
-mirror!(outcome::Outcome, Outcome, Done, NotRun, Unknown);
-mirror!(
-    sub::Failure,
-    Failure,
-    Refused,
-    Cold,
-    SnapshotGone,
-    NotOwner,
-    Out,
-    Shed,
-    Connection,
-    Timeout,
-    Malformed
-);
