Ask no address again at which another server answered, and no near server that is left alone

Cause, by the notes of branches: a server crashed while the service that publishes was silent, and another service's server got its address. Its entry stayed. Each host that was asked for its shard had no other replica near, tried it as the last that there was (connection refused, again each 16 ms, then another server's address), and told a lost shard, for which a repeat was due; late searches tried it too. What came to the address counts for the other server's service.

Change: a server at whose address another one answered is not asked until it is published anew; a host that is asked for shards declines those whose near server is left alone, and whoever asked goes to another replica without a repeat. Three tests, which failed before.

--- a/crates/lentillift-scatter/src/book.rs
+++ b/crates/lentillift-scatter/src/book.rs
@@ -108,6 +108,9 @@
     fn expected(&mut self, around: &Around<'_>, server: &Server) -> Option<(Duration, Time)> {
         let now = around.now;
         let replica = self.get(&server.entry.id);
+        if replica.has_moved(&server.entry) {
+            return None;
+        }
         if replica.is_down(now) && !(around.desperate && replica.pending() == 0) {
             return None;
         }
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -331,6 +331,11 @@
         })
     }
 
+    /// Whether the server of a choice is left alone for now, and was chosen for want of another.
+    pub fn is_down(&mut self, choice: &Choice, now: Time) -> bool {
+        self.book.get(&choice.server.entry.id).is_down(now)
+    }
+
     /// Whether a send to `server` that was decided earlier may still leave.
     ///
     /// What goes wrong without it: between the choice and the first byte a connection is opened or the
--- a/crates/lentillift-scatter/src/query/again.rs
+++ b/crates/lentillift-scatter/src/query/again.rs
@@ -70,7 +70,13 @@
             self.legs[leg].hedge_at = None;
             return Vec::new();
         }
-        let Some(choice) = self.other(core, leg, now, turned) else {
+        let other = self.other(core, leg, now, turned);
+        if self.plan.near_only && other.as_ref().is_none_or(|other| core.is_down(other, now)) {
+            // Whoever asked has other replicas and can go there without a repeat.
+            self.legs[leg].hedge_at = None;
+            return Vec::new();
+        }
+        let Some(choice) = other else {
             return self.look_later(core, leg, now);
         };
         let repeat = self.legs[leg].arrivals > 0;
--- a/crates/lentillift-scatter/src/query/ended.rs
+++ b/crates/lentillift-scatter/src/query/ended.rs
@@ -76,7 +76,10 @@
             }
             Outcome::Failure { load } => (Sign::Failed, *load),
             Outcome::Rejected { load } => (Sign::Rejected, *load),
-            Outcome::Misdirected => (Sign::Misdirected, None),
+            Outcome::Misdirected => {
+                core.book.get(&server.entry.id).moved(&server.entry);
+                (Sign::Misdirected, None)
+            }
             Outcome::Unreachable => (Sign::Unreachable, None),
             Outcome::Broken | Outcome::Branch(_) => (Sign::Failed, None),
         };
--- a/crates/lentillift-scatter/src/query/first.rs
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -41,7 +41,8 @@
             // server that is slow for good, each of its requests would need one, and the budget of that
             // shard would be gone within a second.
             let replica = core.book.get(&choice.server.entry.id);
-            let declined = self.plan.near_only && replica.is_slow(now) && declines;
+            let slow = replica.is_slow(now) && declines;
+            let declined = self.plan.near_only && (slow || replica.is_down(now));
             (!declined).then_some(choice)
         })
         .collect()
--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -10,8 +10,10 @@
 
 use crate::limit;
 use crate::report::Report;
+use crate::server::Entry;
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Weight of one reply in a server's slowness; three replies make up most of it.
@@ -97,6 +99,8 @@
     down_until: Option<Time>,
     cold: limit::Recent,
     used: Time,
+    /// The process and address at which another server answered.
+    moved: Option<(u64, SocketAddr)>,
 }
 
 /// How a send ended, as far as it tells something of the server.
@@ -203,6 +207,20 @@
         self.down_until = Some(now + pause);
     }
 
+    /// Notes that another server answered at the address that `entry` tells.
+    ///
+    /// What goes wrong without it: a server is gone, another one has its address, and the service that
+    /// publishes is away, so that the entry stays. Tried again after each pause, it would be the other
+    /// server that gets these requests, beyond what its own service may get.
+    pub fn moved(&mut self, entry: &Entry) {
+        self.moved = Some((entry.born, entry.address));
+    }
+
+    /// Whether another server has the address that `entry` tells; until it is published anew, that stays so.
+    pub fn has_moved(&self, entry: &Entry) -> bool {
+        self.moved == Some((entry.born, entry.address))
+    }
+
     /// Whether the server is left alone for now.
     pub fn is_down(&self, now: Time) -> bool {
         self.down_until.is_some_and(|until| now < until)
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -10,6 +10,7 @@
 use common::server;
 use common::single;
 use common::view;
+use lentillift_core::id::Backend;
 use lentillift_core::id::Service;
 use lentillift_core::time::Time;
 use lentillift_scatter::caller::Caller;
@@ -25,6 +26,7 @@
 use lentillift_scatter::outcome::Send;
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::query::Query;
+use lentillift_scatter::replica::Sign;
 use lentillift_scatter::server::Server;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -580,6 +582,86 @@
     assert_eq!(last, 0, "asked again before the host's usual time");
 }
 
+/// A backend server crashed while the service that publishes is away, and another one has its address. The
+/// host that was asked for its shard had no other replica near, and tried it with every search; so did
+/// late searches. 426 requests in ten seconds came to the other server, whose service may get 235 more than
+/// there are searches. Lines of branches showed `another server's address` in each of them.
+#[test]
+fn an_address_of_another_server_is_asked_once() {
+    let (mut core, plan) = search_beside(far_pairs(5));
+    core.options.branches = false;
+    let mut asked = 0;
+    for search in 0..50 {
+        let now = NOON + MS * 100 * search;
+        let plan = Plan {
+            arrived: now,
+            deadline: now + PATIENCE,
+            branches: false,
+            ..plan.clone()
+        };
+        let (mut query, mut sends) = Query::start(&mut core, plan, now);
+        while let Some(send) = sends.pop() {
+            let Target::Server(server) = &send.target else {
+                panic!("directly: {send:?}");
+            };
+            let outcome = match &*server.entry.id {
+                "b2" => Outcome::Misdirected,
+                _ => Outcome::Part { load: None },
+            };
+            asked += u32::from(outcome == Outcome::Misdirected);
+            sends.extend(query.ended(&mut core, now + MS, send.number, outcome));
+        }
+    }
+    assert_eq!(asked, 1);
+    // Published anew, it is asked again.
+    let mut latest = (**core.view.as_ref().expect("a view")).clone();
+    let mut again = (*server("b2", "s2", "b")).clone();
+    again.entry.born = 2;
+    latest.servers.insert("s2".into(), vec![Arc::new(again)]);
+    core.adopt(latest);
+    let view = core.view.clone().expect("a view");
+    let now = NOON + Duration::from_secs(60);
+    let typical = MS * 10;
+    let choice = core.choose(&view, &"s2".into(), typical, now, |_| true);
+    assert!(choice.is_some());
+}
+
+/// The near replica of a shard can't be reached and is left alone. A host that is asked declines the shard
+/// at once, which costs nothing, and whoever asked goes to the other replica.
+#[test]
+fn a_host_that_is_asked_tries_no_server_that_is_left_alone() {
+    let (mut core, _) = pairs(3, 1.0);
+    core.domain = "a".into();
+    let down: Backend = "a1".into();
+    for number in 0..5 {
+        let replica = core.book.get(&down);
+        replica.ended(number, NOON, Sign::Unreachable, None);
+    }
+    let route = Arc::new(route(scatter(3, 1.0), Kind::Idempotent));
+    let view = core.view.clone().expect("a view");
+    let plan = Plan::branch(&route, &view, names(3), NOON, NOON + PATIENCE);
+    let (query, first) = Query::start(&mut core, plan, NOON);
+    assert_eq!(first.len(), 2, "{first:?}");
+    let states: Vec<State> = query.states().collect();
+    assert_eq!(states[1], State::Declined);
+}
+
+/// The same, found out with the search's own send.
+#[test]
+fn a_host_that_is_asked_declines_what_it_could_not_reach() {
+    let (mut core, _) = pairs(3, 1.0);
+    core.domain = "a".into();
+    let route = Arc::new(route(scatter(3, 1.0), Kind::Idempotent));
+    let view = core.view.clone().expect("a view");
+    let plan = Plan::branch(&route, &view, names(3), NOON, NOON + PATIENCE);
+    let (mut query, first) = Query::start(&mut core, plan, NOON);
+    let number = first[1].number;
+    let again = query.ended(&mut core, NOON + MS, number, Outcome::Unreachable);
+    assert!(again.is_empty(), "{again:?}");
+    let states: Vec<State> = query.states().collect();
+    assert_eq!(states[1], State::Declined);
+}
+
 /// A host that is asked declines one shard at once, since its server is gone, and works on the others.
 /// Only that one is asked for elsewhere; taken for late, all the others would be sent twice.
 #[test]
