--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -190,9 +190,10 @@
     ///
     /// When it can't be encoded.
     pub(crate) fn news_after(&self, after: id::Revision) -> Result<Option<Content>> {
-        let told = self.told.borrow().clone();
-        if let Some(told) = told.filter(|told| told.after == after) {
-            return Ok(Some(told.content));
+        if let Some(told) = self.told.borrow().as_ref()
+            && told.after == after
+        {
+            return Ok(Some(told.content.clone()));
         }
         let Some(news) = self.catalog.borrow().news(after) else {
             return Ok(None);
