Bound what is unpacked by the largest message

Found while reading the change once more: the limit of 64 MB stood twice, for a message between hosts and for its content once unpacked, which is never larger than a message may be. One constant serves both now; the bound and the test of boundless content are as they were.

--- a/crates/lentillift-gateway/src/frame.rs
+++ b/crates/lentillift-gateway/src/frame.rs
@@ -23,7 +23,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// Largest message, in bytes: everything that is published for 4,600 backend servers takes two.
-const MOST_BYTES: usize = 64 * 1024 * 1024;
+pub(crate) const MOST_BYTES: usize = 64 * 1024 * 1024;
 
 /// A body that is made while it is sent.
 ///
--- a/crates/lentillift-gateway/src/pack.rs
+++ b/crates/lentillift-gateway/src/pack.rs
@@ -5,6 +5,7 @@
 //! passes it on, and searches of these hosts wait behind it. Published text says the same field names again
 //! and again and shrinks to a tenth.
 
+use crate::frame::MOST_BYTES;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -17,9 +18,6 @@
 /// Content below this many bytes is not packed: it fits into a packet or two.
 const LEAST_BYTES: usize = 2048;
 
-/// Largest content that is unpacked, in bytes; a message that claims more is not believed.
-const MOST_BYTES: u64 = 64 * 1024 * 1024;
-
 /// Content as it is sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Packed {
@@ -53,10 +51,12 @@
             Self::Deflated(deflated) => deflated,
         };
         let mut content = Vec::new();
-        let mut decoder = DeflateDecoder::new(deflated.as_slice()).take(MOST_BYTES + 1);
+        // One byte more than any message has tells content that would go on.
+        let most = MOST_BYTES as u64 + 1;
+        let mut decoder = DeflateDecoder::new(deflated.as_slice()).take(most);
         let read = decoder.read_to_end(&mut content);
         read.map_err(|e| Error::new(Step::Decode, peer, e))?;
-        match content.len() as u64 {
+        match content.len() {
             0..=MOST_BYTES => Ok(content),
             _ => Err(Error::new(Step::Decode, peer, "too large when unpacked")),
         }
