Tell a server that ended from a reply that was lost, and name the content of requests in logs

The hypotheses could not be told apart: log lines had the id of an attempt, which differs between attempts of the same request, and one word for a server that ended and a reply that was lost.

- A fingerprint (blake3, 128 bits) of method, host, path and body stands in request, branch and abandoned lines.
No content is logged.
- When a connection ends before the whole reply is here, the address is tried once: nobody listens there after a process ended, while a server that reset, broke off or lost a reply still does.
The new line 'ended' and lentillift_gateway_servers_ended_total say so.
A connection that could be opened is kept.

Nothing else follows from it yet. Test: an_ended_server_is_told_from_a_lost_reply.

--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -191,7 +191,8 @@
         if !answer.declined.is_empty() || !answer.failed.is_empty() {
             info!(
                 event = "branch",
-                id = %self.run.id(),
+                id = %self.run.message().id,
+                fingerprint = %self.run.message().fingerprint,
                 parts = answer.parts.len(),
                 declined = answer.declined.len(),
                 failed = answer.failed.len(),
--- a/crates/lentillift-gateway/src/branch/wire.rs
+++ b/crates/lentillift-gateway/src/branch/wire.rs
@@ -10,6 +10,7 @@
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
 use lentillift_scatter::delay::Stamp;
+use lentillift_scatter::fingerprint::Fingerprint;
 use lentillift_scatter::outcome::Send;
 use lentillift_scatter::report::Report;
 use std::time::Duration;
@@ -133,7 +134,15 @@
             let value = HeaderValue::from_bytes(value).map_err(|e| fail(&e))?;
             headers.append(name, value);
         }
+        let Question {
+            method,
+            path,
+            authority,
+            body,
+            ..
+        } = question;
         Ok(Self {
+            fingerprint: Fingerprint::of(method, authority, path, body),
             method: question.method.parse().map_err(|e| fail(&e))?,
             path: question.path.parse().map_err(|e| fail(&e))?,
             headers,
--- a/crates/lentillift-gateway/src/ending.rs
+++ b/crates/lentillift-gateway/src/ending.rs
@@ -4,6 +4,7 @@
 use http::StatusCode;
 use lentillift_scatter::config::Route;
 use lentillift_scatter::config::Version;
+use lentillift_scatter::fingerprint::Fingerprint;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::info;
@@ -11,6 +12,7 @@
 /// How a request ended and what decided it, for the log.
 pub(crate) struct Ending {
     pub(crate) id: Box<str>,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) route: Arc<Route>,
     pub(crate) outcome: &'static str,
     pub(crate) status: StatusCode,
@@ -30,6 +32,7 @@
         info!(
             event = "request",
             id = %self.id,
+            fingerprint = %self.fingerprint,
             route = %self.route.name,
             outcome = self.outcome,
             status = self.status.as_u16(),
--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use crate::dialect::Ran;
 use crate::host::Host;
 use crate::message::Message;
+use crate::metric;
 use crate::pool::Failure;
 use crate::source::Source;
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 use lentillift_scatter::outcome::Outcome;
 use lentillift_scatter::server::Server;
 use std::time::Duration;
+use tracing::info;
 
 /// Time beyond a server's limit after which its reply is no longer awaited.
 const SLACK: Duration = Duration::from_millis(30);
@@ -79,10 +81,32 @@
         Ok(Ok(response)) => judge(&host.dialect, message, response),
         Ok(Err(Failure::Unsent(why))) => Ended::without(Outcome::Unreachable, why),
         Ok(Err(Failure::Broken(why))) => Ended::without(Outcome::Broken, why),
+        Ok(Err(Failure::Cut(why))) => match host.pool.is_refused(server).await {
+            true => server_ended(host, server, message),
+            false => Ended::without(Outcome::Broken, why),
+        },
         Err(_) => Ended::without(Outcome::Broken, "no reply in time"),
     }
 }
 
+/// Notes that a server's process ended while it had the request.
+fn server_ended<D, S>(host: &Host<D, S>, server: &Server, message: &Message) -> Ended
+where
+    D: Dialect,
+    S: Source,
+{
+    info!(
+        event = "ended",
+        id = %message.id,
+        fingerprint = %message.fingerprint,
+        backend = %server.entry.id,
+        service = %server.entry.service,
+        "backend server ended while it had the request"
+    );
+    host.board.add(metric::SERVERS_ENDED, 1);
+    Ended::without(Outcome::ServerEnded, "server ended")
+}
+
 /// Says what a reply is worth.
 fn judge<D>(dialect: &D, message: &Message, response: Response<Bytes>) -> Ended
 where
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -33,6 +33,7 @@
 use lentillift_scatter::config::Limits;
 use lentillift_scatter::config::Route;
 use lentillift_scatter::config::Target;
+use lentillift_scatter::fingerprint::Fingerprint;
 use lentillift_scatter::outcome::Next;
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::record;
@@ -198,6 +199,7 @@
         plan
     };
     let id = message.id.clone();
+    let fingerprint = message.fingerprint;
     let done = run::run(host, plan, Rc::new(message), authority).await;
     let took = host.now().saturating_sub(arrived);
     let (outcome, response) = conclude(host, &route, &done);
@@ -211,6 +213,7 @@
     if late || outcome != "whole" || done.repeats > 0 || is_sampled(&id) {
         let ending = Ending {
             id,
+            fingerprint,
             route,
             outcome,
             status: response.status(),
@@ -282,12 +285,14 @@
         Some(path) => Uri::from(path.clone()),
         None => Uri::from_static("/"),
     };
+    let fingerprint = Fingerprint::of(head.method.as_str(), &authority, &path.to_string(), &body);
     let message = Message {
         method: head.method,
         path,
         headers: head.headers,
         body,
         id: ask.id.unwrap_or_default(),
+        fingerprint,
     };
     Ok(Arrived {
         message,
--- a/crates/lentillift-gateway/src/message.rs
+++ b/crates/lentillift-gateway/src/message.rs
@@ -6,6 +6,7 @@
 use http::Method;
 use http::Uri;
 use http::header;
+use lentillift_scatter::fingerprint::Fingerprint;
 
 /// A request, without what concerns only the connection it came on.
 #[derive(Debug, Clone)]
@@ -20,6 +21,8 @@
     pub body: Bytes,
     /// The caller's id of this attempt.
     pub id: Box<str>,
+    /// What it has in common with other attempts of the same request.
+    pub fingerprint: Fingerprint,
 }
 
 /// Headers that concern one connection.
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -18,6 +18,9 @@
 /// Sends, by where they went.
 pub const SENDS: &str = "lentillift_gateway_sends_total";
 
+/// Backend servers that ended while they had a request of this host.
+pub const SERVERS_ENDED: &str = "lentillift_gateway_servers_ended_total";
+
 /// Repeated sends that the budget did not allow.
 pub const UNPAID: &str = "lentillift_gateway_repeats_refused_total";
 
--- a/crates/lentillift-gateway/src/pool.rs
+++ b/crates/lentillift-gateway/src/pool.rs
@@ -21,6 +21,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -34,6 +35,10 @@
 /// A connection that went silent would otherwise take requests until TCP gives up after minutes.
 const SILENCE: Duration = Duration::from_millis(1500);
 
+/// Longest time to find out whether anybody listens at an address. The next send for the request waits
+/// for it.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// How long a connection is kept if the server does not say how long it keeps it.
 const KEEP: Duration = Duration::from_secs(8);
 
@@ -50,8 +55,13 @@
     Unsent(&'static str),
     /// The request may have run.
     Broken(&'static str),
+    /// The request may have run; the connection ended before the whole reply was here.
+    Cut(&'static str),
 }
 
+/// Nobody listens at the server's address.
+const REFUSED: Failure = Failure::Unsent("connection refused");
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// A connection without a request.
@@ -117,7 +127,7 @@
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if !fresh => request = unsent,
                     Some(_) => return Err(Failure::Unsent("closed before the request")),
-                    None => return Err(Failure::Broken("no whole reply")),
+                    None => return Err(lost_reply(failed.error())),
                 },
             }
         }
@@ -139,11 +149,27 @@
         None
     }
 
+    /// Whether nobody listens at the server's address, as after its process ended.
+    ///
+    /// A connection that could be opened is kept.
+    pub async fn is_refused(&self, server: &Server) -> bool {
+        let opened = tokio::time::timeout(LOOK_TIMEOUT, self.open(server.entry.address)).await;
+        match opened {
+            Ok(Ok(sender)) => {
+                self.keep(&server.entry.id, sender, KEEP);
+                false
+            }
+            Ok(Err(failure)) => failure == REFUSED,
+            Err(_) => false,
+        }
+    }
+
     async fn open(&self, address: SocketAddr) -> Result<Sender, Failure> {
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = match connected {
             Ok(Ok(stream)) => stream,
-            Ok(Err(_)) => return Err(Failure::Unsent("connection refused")),
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Err(REFUSED),
+            Ok(Err(_)) => return Err(Failure::Unsent("connection failed")),
             Err(_) => return Err(Failure::Unsent("connection timed out")),
         };
         self.opened.set(self.opened.get() + 1);
@@ -165,20 +191,26 @@
     ) -> Result<Response<Bytes>, Failure> {
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MOST_BYTES).collect().await;
-        let body = body.map_err(|_| Failure::Broken("reply cut off"))?;
+        let body = body.map_err(|e| match e.is::<http_body_util::LengthLimitError>() {
+            true => Failure::Broken("reply too large"),
+            false => Failure::Cut("reply cut off"),
+        })?;
         if keeps_open(&head.headers) {
-            let keep = keep(&head.headers);
-            let idle = Idle {
-                sender,
-                since: Instant::now(),
-                keep,
-            };
-            let mut all = self.idle.borrow_mut();
-            all.entry(backend.clone()).or_default().push(idle);
+            self.keep(backend, sender, keep_time(&head.headers));
         }
         Ok(Response::from_parts(head, body.to_bytes()))
     }
 
+    fn keep(&self, backend: &id::Backend, sender: Sender, keep: Duration) {
+        let idle = Idle {
+            sender,
+            since: Instant::now(),
+            keep,
+        };
+        let mut all = self.idle.borrow_mut();
+        all.entry(backend.clone()).or_default().push(idle);
+    }
+
     /// Closes connections that have been idle for too long or belong to nobody `keeps` names.
     pub fn sweep<F>(&self, keeps: F)
     where
@@ -199,6 +231,14 @@
     let _ = SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE));
 }
 
+/// What it means that no reply came over a connection.
+fn lost_reply(error: &hyper::Error) -> Failure {
+    match error.is_parse() {
+        true => Failure::Broken("malformed reply"),
+        false => Failure::Cut("no whole reply"),
+    }
+}
+
 fn keeps_open(headers: &http::HeaderMap) -> bool {
     let named = headers.get_all(header::CONNECTION).iter();
     !named
@@ -207,7 +247,7 @@
 }
 
 /// How long the server keeps a connection without a request, by its `Keep-Alive` header.
-fn keep(headers: &http::HeaderMap) -> Duration {
+fn keep_time(headers: &http::HeaderMap) -> Duration {
     let told = headers.get("keep-alive").and_then(|v| v.to_str().ok());
     let told = told.and_then(|value| {
         let parts = value.split(',').map(str::trim);
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -70,6 +70,7 @@
             info!(
                 event = "abandoned",
                 id = %self.message.id,
+                fingerprint = %self.message.fingerprint,
                 after_ms = after.as_millis() as u64,
                 notes = self.notes,
                 stage = ?*self.host.stage.borrow(),
@@ -142,9 +143,9 @@
         &self.query
     }
 
-    /// The caller's id of the request.
-    pub fn id(&self) -> &str {
-        &self.message.id
+    /// The request as it is passed on.
+    pub fn message(&self) -> &Message {
+        &self.message
     }
 
     /// What happened to it so far, for the log.
@@ -331,6 +332,7 @@
             Outcome::Misdirected => "misdirected",
             Outcome::Unreachable => "unreachable",
             Outcome::Broken => "broken",
+            Outcome::ServerEnded => "server ended",
         };
         let route = &*self.query.plan().route.name;
         let labels = [("route", route), ("hop", hop.name()), ("kind", label)];
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod fragile;
+
 use http::HeaderMap;
 use http::StatusCode;
 use http::request;
@@ -365,6 +367,11 @@
     Some(String::from_utf8_lossy(&text).into_owned())
 }
 
+/// The path of a request.
+pub fn get_path(request: &str) -> &str {
+    request.split(' ').nth(1).unwrap_or_default()
+}
+
 /// The value of a header in a message.
 pub fn header(message: &str, name: &str) -> Option<String> {
     let lines = message.lines().take_while(|line| !line.is_empty());
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -146,6 +146,10 @@
         "lentillift_gateway_sends_total",
         "Sends to backend servers and other hosts, by where they went.",
     ),
+    (
+        "lentillift_gateway_servers_ended_total",
+        "Requests whose backend server ended while it had them.",
+    ),
     (
         "lentillift_gateway_service_calls_total",
         "Calls to the service that publishes, by kind and outcome.",
--- a/crates/lentillift-scatter/src/lib.rs
+++ b/crates/lentillift-scatter/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod core;
 pub mod delay;
+pub mod fingerprint;
 pub mod grace;
 pub mod host;
 pub mod ledger;
--- a/crates/lentillift-scatter/src/outcome.rs
+++ b/crates/lentillift-scatter/src/outcome.rs
@@ -47,6 +47,8 @@
     Unreachable,
     /// It may have run; the reply was lost, cut off, late or malformed.
     Broken,
+    /// The server's process ended while it had the request.
+    ServerEnded,
     /// Another host told of some legs.
     Branch(Brought),
 }
--- a/crates/lentillift-scatter/src/query/ended.rs
+++ b/crates/lentillift-scatter/src/query/ended.rs
@@ -50,7 +50,7 @@
                 state.ran.push(backend);
                 state.failed = Some(number);
             }
-            Outcome::Broken | Outcome::Branch(_) => state.ran.push(backend),
+            Outcome::Broken | Outcome::ServerEnded | Outcome::Branch(_) => state.ran.push(backend),
             Outcome::Rejected { .. } | Outcome::Misdirected => {
                 self.rejections += 1;
                 state.turned_away.push(backend);
@@ -81,7 +81,7 @@
                 (Sign::Misdirected, None)
             }
             Outcome::Unreachable => (Sign::Unreachable, None),
-            Outcome::Broken | Outcome::Branch(_) => (Sign::Failed, None),
+            Outcome::Broken | Outcome::ServerEnded | Outcome::Branch(_) => (Sign::Failed, None),
         };
         core.ended(sent.number, &server.entry.id, sign, now, load);
     }
