--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -11,6 +11,9 @@
 use lentillift_core::error::Result;
 use lentillift_core::id;
 use lentillift_fleet::follow;
+use lentillift_fleet::packet::Body;
+use lentillift_fleet::packet::Digest;
+use lentillift_fleet::packet::Packet;
 use lentillift_gateway::daemon;
 use lentillift_gateway::daemon::Settings;
 use lentillift_gateway::daemon::Tuning;
@@ -20,6 +23,7 @@
 use lentillift_gateway::dialect::Ran;
 use lentillift_gateway::front;
 use lentillift_gateway::host::Host;
+use lentillift_gateway::listen;
 use lentillift_gateway::source::Brought;
 use lentillift_gateway::source::Source;
 use lentillift_gateway::source::Watched;
@@ -249,6 +253,40 @@
     Served { host, front }
 }
 
+/// A host whose other hosts are served.
+pub async fn start(name: &str, domain: &str, items: Vec<Item>) -> Shared {
+    let (listener, node) = listener().await;
+    let host = host(name, domain, node, Memory::default());
+    if !items.is_empty() {
+        host.learn(Some(News::All { revision: 1, items }), Duration::ZERO);
+    }
+    host.swim.borrow_mut().serve();
+    tokio::task::spawn_local(listen::nodes(host.clone(), listener));
+    host
+}
+
+/// Makes `host` known to `to`.
+pub fn introduce(host: &Shared, to: &Shared) {
+    let from = host.swim.borrow().own().clone();
+    let packet = Packet {
+        from,
+        digest: Digest {
+            values: 0,
+            members: 0,
+        },
+        body: Body::Push,
+        news: Vec::new(),
+    };
+    to.swim.borrow_mut().packet(to.now(), packet);
+    to.count_hosts();
+}
+
+pub async fn front(host: &Shared) -> SocketAddr {
+    let (listener, address) = listener().await;
+    tokio::task::spawn_local(front::serve(host.clone(), listener, MOST_CALLERS));
+    address
+}
+
 pub fn item(key: &str, value: String) -> Item {
     Item {
         key: key.to_owned(),
--- a/crates/lentillift-gateway/tests/fatal.rs
+++ b/crates/lentillift-gateway/tests/fatal.rs
@@ -9,10 +9,113 @@
 use common::fragile::FATAL;
 use common::fragile::Fragile;
 use common::fragile::Nature;
+use common::front;
 use common::get;
+use common::header;
+use common::introduce;
+use common::item;
 use common::run;
 use common::serve;
 use common::singles;
+use common::start;
+use common::status;
+use lentillift_scatter::source::Item;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How often something that will come about is looked for, and the pause in between.
+const LOOKS: usize = 2000;
+const PAUSE: Duration = Duration::from_millis(2);
+
+/// Shards of a search; each has a replica in either failure domain.
+const SHARDS: usize = 6;
+
+/// Hosts, of both failure domains.
+const HOSTS: [(&str, &str); 3] = [("h0", "a"), ("h1", "b"), ("h2", "a")];
+
+/// Sends of a request that had ended three servers which all hosts together may still make.
+const MOST_SENDS: usize = 3;
+
+/// Hosts that know each other, and backend servers that some requests end.
+struct Fleet {
+    servers: Vec<Fragile>,
+    hosts: Vec<Shared>,
+    fronts: Vec<SocketAddr>,
+    attempts: usize,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let mut servers = Vec::new();
+        let mut items = vec![config()];
+        for shard in 0..SHARDS {
+            for domain in ["a", "b"] {
+                let letter = char::from(b'a' + shard as u8);
+                let server = Fragile::start(Nature::quick(letter)).await;
+                let value = format!("s{shard} {} {domain}", server.address);
+                items.push(item(&format!("b{shard}{domain}"), value));
+                servers.push(server);
+            }
+        }
+        let mut hosts = Vec::new();
+        let mut fronts = Vec::new();
+        for (name, domain) in HOSTS {
+            let host = start(name, domain, items.clone()).await;
+            fronts.push(front(&host).await);
+            hosts.push(host);
+        }
+        for (from, to) in (0..HOSTS.len()).flat_map(|a| (0..HOSTS.len()).map(move |b| (a, b))) {
+            if from != to {
+                introduce(&hosts[from], &hosts[to]);
+            }
+        }
+        Self {
+            servers,
+            hosts,
+            fronts,
+            attempts: 0,
+        }
+    }
+
+    /// Asks for `path` at a host once all servers are up.
+    async fn ask(&mut self, host: usize, path: &str) -> String {
+        let is_up = || self.servers.iter().all(Fragile::is_up);
+        until("all servers are up", is_up).await;
+        self.attempts += 1;
+        let id = format!("i{}", self.attempts);
+        ask(self.fronts[host], &get(path, &id)).await
+    }
+
+    /// Requests that reached servers and end them.
+    fn fatal(&self) -> u32 {
+        self.servers.iter().map(Fragile::fatal).sum()
+    }
+
+    /// Times that servers ended.
+    fn ends(&self) -> u32 {
+        self.servers.iter().map(Fragile::ends).sum()
+    }
+}
+
+/// Configuration with these shards.
+fn config() -> Item {
+    let shards: Vec<String> = (0..SHARDS).map(|shard| format!("s{shard}")).collect();
+    item("config", shards.join(" "))
+}
+
+/// Waits until `seen` says yes.
+async fn until<F>(what: &str, seen: F)
+where
+    F: Fn() -> bool,
+{
+    for _ in 0..LOOKS {
+        if seen() {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("never: {what}");
+}
 
 fn ended(host: &Shared) -> u64 {
     let text = host.board.render(host.now());
@@ -39,3 +142,26 @@
         assert_eq!(ended(&served.host), 1);
     });
 }
+
+/// One search ends every server of every shard, at whichever host it is asked again.
+#[test]
+fn a_search_that_ends_servers_is_stopped_at_all_hosts() {
+    run(async {
+        let mut fleet = Fleet::start().await;
+        let path = format!("/all/{FATAL}");
+        let mut sends = 0;
+        for attempt in 0..12 {
+            let (before, had_ended) = (fleet.fatal(), fleet.ends());
+            fleet.ask(attempt % HOSTS.len(), &path).await;
+            let is_sent = fleet.fatal() > before;
+            sends += usize::from(is_sent && had_ended >= 3);
+        }
+        assert!(fleet.hosts.iter().map(ended).sum::<u64>() >= 3);
+        assert!(sends <= MOST_SENDS, "sent {sends} times more");
+        for host in 0..HOSTS.len() {
+            let answer = fleet.ask(host, "/all/x").await;
+            assert_eq!(status(&answer), 200, "{answer}");
+            assert_eq!(header(&answer, "x-missing").as_deref(), Some("0"));
+        }
+    });
+}
--- a/crates/lentillift-gateway/tests/hosts.rs
+++ b/crates/lentillift-gateway/tests/hosts.rs
@@ -7,60 +7,23 @@
 use common::Shared;
 use common::ask;
 use common::backend;
+use common::front;
 use common::get;
 use common::header;
 use common::host;
+use common::introduce;
 use common::item;
 use common::listener;
 use common::run;
+use common::start;
 use common::status;
 use common::whole;
-use lentillift_fleet::packet::Body;
-use lentillift_fleet::packet::Digest;
-use lentillift_fleet::packet::Packet;
 use lentillift_gateway::feed;
-use lentillift_gateway::front;
-use lentillift_gateway::listen;
 use lentillift_scatter::delay::Stamp;
 use lentillift_scatter::source::Item;
 use lentillift_scatter::source::News;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A host whose other hosts are served.
-async fn start(name: &str, domain: &str, items: Vec<Item>) -> Shared {
-    let (listener, node) = listener().await;
-    let host = host(name, domain, node, Memory::default());
-    if !items.is_empty() {
-        host.learn(Some(News::All { revision: 1, items }), Duration::ZERO);
-    }
-    host.swim.borrow_mut().serve();
-    tokio::task::spawn_local(listen::nodes(host.clone(), listener));
-    host
-}
-
-/// Makes `host` known to `to`.
-fn introduce(host: &Shared, to: &Shared) {
-    let from = host.swim.borrow().own().clone();
-    let packet = Packet {
-        from,
-        digest: Digest {
-            values: 0,
-            members: 0,
-        },
-        body: Body::Push,
-        news: Vec::new(),
-    };
-    to.swim.borrow_mut().packet(to.now(), packet);
-    to.count_hosts();
-}
-
-async fn front(host: &Shared) -> SocketAddr {
-    let (listener, address) = listener().await;
-    tokio::task::spawn_local(front::serve(host.clone(), listener, common::MOST_CALLERS));
-    address
-}
-
 /// Five shards with one replica each in failure domain `b`.
 async fn shards(acts: [Act; 5]) -> Vec<Item> {
     let mut items = vec![item("config", "s0 s1 s2 s3 s4".to_owned())];
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -41,6 +41,7 @@
     Rejects(Duration),
     Refuses,
     Breaks(Duration),
+    Ends(Duration),
     Hangs,
 }
 
@@ -83,6 +84,7 @@
                 Way::Rejects(after) => (after, Outcome::Rejected { load }),
                 Way::Refuses => (MS, Outcome::Unreachable),
                 Way::Breaks(after) => (after, Outcome::Broken),
+                Way::Ends(after) => (after, Outcome::ServerEnded),
                 Way::Hangs => (send.left, Outcome::Broken),
             };
             let (after, outcome) = match after > send.left {
@@ -208,6 +210,29 @@
     assert_eq!(story.sent.len(), 21);
 }
 
+/// A search that ends each server which runs it ends both replicas of every shard, and no other search is
+/// answered until they are back.
+macro_rules! spares_replicas {
+    ($($name:ident: $after:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let coverage = 0.89;
+            let (mut core, route) = pairs(20, coverage);
+            let story = play(&mut core, route, PATIENCE, |_| Way::Ends($after));
+            let replicas = story.sent.iter().filter(|id| id.starts_with('b')).count();
+            // What an answer may lack, and one more to find out.
+            let allowed = (20.0 * (1.0 - coverage)) as usize + 1;
+            assert!(replicas <= allowed, "{replicas} of {story:?}");
+        }
+    )*};
+}
+
+spares_replicas! {
+    a_search_that_ends_servers_at_once_spares_replicas: MS;
+    a_search_that_ends_servers_in_time_spares_replicas: MS * 45;
+    a_search_that_ends_servers_late_spares_replicas: MS * 80;
+}
+
 /// Both replicas of one shard are silent. Callers that accept an answer without it get one in time;
 /// it says that a shard is missing.
 #[test]
