Quarantine requests that end the servers which run them

What callers saw: a search ended every server that began to run it, both replicas of all its shards, and no search was answered until they were back; then its caller asked again, at any host, and it went on for up to 14 seconds at a time.

Cause: a server's end counted as that server's fault. The next replica was asked, and nothing outlived the request: neither the other host that the caller tried next nor the same one knew what it had done.

Ruled out: load on servers that had just started (the first ends come out of calm seconds, on all 40 servers at once); ends that requests merely met (other requests on the same servers are answered).

Now: - A host remembers under which requests servers ended without a reply of any (lentillift_scatter::quarantine). From then on one server at a time finds out; a reply clears the request, and its other legs go on. An end under such a canary, and three in all, quarantine it: it is refused at once, at its arrival or when a send that waited for a connection would leave. - Hosts tell each other over h2: news to eight of them at once, who pass it on, and an exchange with one a second while anything is held; a host that starts asks until one has answered. Answers to questions for shards carry what is held of the request. - While nothing has replied, no more legs are asked for twice than an answer may lack (doubled with each half of the objective): servers end some time after they began, and hedges leave before that. - Switch: quarantine.

--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -14,6 +14,7 @@
 use crate::frame::Reader;
 use crate::host::Host;
 use crate::message::Message;
+use crate::quarantine;
 use crate::source::Source;
 use http::Request;
 use http::StatusCode;
@@ -153,6 +154,9 @@
         if !answer.slow.is_empty() {
             hear(host, &self.reader, &answer.slow);
         }
+        if let Some(account) = &answer.quarantine {
+            quarantine::hear(host, self.reader.peer(), std::slice::from_ref(account));
+        }
         let legs = |places: &[u16]| -> Vec<usize> {
             let legs = places
                 .iter()
--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -8,6 +8,7 @@
 use crate::host::Host;
 use crate::message::Message;
 use crate::part::Part;
+use crate::quarantine::wire;
 use crate::run::Run;
 use crate::source::Source;
 use bytes::Bytes;
@@ -111,6 +112,7 @@
         let deadline = now + left.saturating_sub(delay);
         let told = vec![false; services.len()];
         let plan = Plan::branch(&route, &view, services, now, deadline);
+        let plan = plan.with(message.fingerprint);
         Ok(Self {
             run: Run::start(host, plan, Rc::new(message), question.authority.into()),
             first: now + Duration::from_millis(question.first_ms.into()),
@@ -166,6 +168,7 @@
     fn tell(&mut self, news: &[Option<State>], over: bool) -> Option<Bytes> {
         let mut answer = Answer {
             slow: self.slow(),
+            quarantine: self.run.account().as_ref().map(wire::Account::from),
             ..Answer::default()
         };
         let mut parts: Vec<Part> = Vec::new();
--- a/crates/lentillift-gateway/src/branch/wire.rs
+++ b/crates/lentillift-gateway/src/branch/wire.rs
@@ -1,6 +1,7 @@
 //! What hosts ask each other and answer, as it stands on the wire.
 
 use crate::message::Message;
+use crate::quarantine::wire;
 use bincode::Decode;
 use bincode::Encode;
 use http::HeaderMap;
@@ -51,6 +52,8 @@
     pub(super) failed: Vec<u16>,
     /// Backend servers that are slow, in the first message.
     pub(super) slow: Vec<Slow>,
+    /// What is held of the request, if servers ended under it.
+    pub(super) quarantine: Option<wire::Account>,
 }
 
 /// What a host has learnt of a slow backend server, as it stands on the wire.
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -11,6 +11,7 @@
 use crate::metric::Board;
 use crate::peer::Peers;
 use crate::pool::Pool;
+use crate::quarantine;
 use crate::source::Source;
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
@@ -45,6 +46,7 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tracing::info;
@@ -161,6 +163,7 @@
     tokio::task::spawn_local(listen::nodes(host.clone(), node));
     tokio::task::spawn_local(member::run(host.clone(), socket.clone()));
     tokio::task::spawn_local(feed::follow(host.clone()));
+    tokio::task::spawn_local(quarantine::spread(host.clone()));
     tokio::task::spawn_local(keep_house(host.clone(), socket.clone()));
     tokio::task::spawn_local(watch_settings(host.clone(), hangup, reload));
     tokio::task::spawn_local(front::serve(host.clone(), front, settings.callers));
@@ -223,6 +226,7 @@
         steady: Cell::new(true),
         way: RefCell::new(Way::default()),
         roster: RefCell::new(Roster::default()),
+        quarantine_changed: Notify::new(),
         delays: RefCell::new(Delays::default()),
         callers: Cell::new(0),
         told: RefCell::new(None),
@@ -272,6 +276,7 @@
         }
         let now = host.now();
         host.take_place();
+        host.core.borrow_mut().forget(now);
         let expired = host.catalog.borrow_mut().expire(now);
         if expired {
             host.redraw();
--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -20,6 +20,8 @@
 use http_body_util::Full;
 use lentillift_scatter::config::Kind;
 use lentillift_scatter::outcome::Outcome;
+use lentillift_scatter::outcome::Send;
+use lentillift_scatter::quarantine::Verdict;
 use lentillift_scatter::server::Server;
 use std::time::Duration;
 use tracing::info;
@@ -63,7 +65,7 @@
     server: &Server,
     kind: Kind,
     message: &Message,
-    left: Duration,
+    send: &Send,
 ) -> Ended
 where
     D: Dialect,
@@ -74,11 +76,16 @@
     *request.uri_mut() = message.path.clone();
     *request.headers_mut() = message.headers.clone();
     let backend = &server.entry.id;
+    let left = send.left;
     host.dialect.address(request.headers_mut(), backend, left);
-    let may_leave = || host.core.borrow().may_leave(server, host.now());
+    let is_withheld = || is_withheld(host, message, send);
+    let may_leave = || host.core.borrow().may_leave(server, host.now()) && !is_withheld();
     let exchange = host.pool.exchange(server, kind, request, may_leave);
     match tokio::time::timeout(left + SLACK, exchange).await {
         Ok(Ok(response)) => judge(&host.dialect, message, response),
+        Ok(Err(Failure::Unsent(_))) if is_withheld() => {
+            Ended::without(Outcome::Withheld, "request became suspect")
+        }
         Ok(Err(Failure::Unsent(why))) => Ended::without(Outcome::Unreachable, why),
         Ok(Err(Failure::Broken(why))) => Ended::without(Outcome::Broken, why),
         Ok(Err(Failure::Cut(why))) => match host.pool.is_refused(server).await {
@@ -89,6 +96,13 @@
     }
 }
 
+/// Whether servers ended under the request since the send was decided.
+fn is_withheld<D, S>(host: &Host<D, S>, message: &Message, send: &Send) -> bool {
+    let core = host.core.borrow();
+    let verdict = core.verdict(Some(message.fingerprint), host.clock.now());
+    !send.canary && verdict != Verdict::Clear
+}
+
 /// Notes that a server's process ended while it had the request.
 fn server_ended<D, S>(host: &Host<D, S>, server: &Server, message: &Message) -> Ended
 where
--- a/crates/lentillift-gateway/src/flight.rs
+++ b/crates/lentillift-gateway/src/flight.rs
@@ -84,8 +84,7 @@
     let hop = Hop::of(&send.target, &host.domain);
     let told = match &send.target {
         Target::Server(server) => {
-            let left = send.left;
-            let ended = exchange::exchange(&host, server, route.kind, &message, left).await;
+            let ended = exchange::exchange(&host, server, route.kind, &message, &send).await;
             Told {
                 ended,
                 merged: None,
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -196,7 +196,7 @@
             &mut core, &mut known, &route, &view, services, arrived, left,
         );
         caller.set(known);
-        plan
+        plan.with(message.fingerprint)
     };
     let id = message.id.clone();
     let fingerprint = message.fingerprint;
@@ -333,6 +333,7 @@
         (Next::Answer { .. }, Target::Split(_)) => ("whole", pass(done)),
         (Next::Pass(_), _) => ("failure", pass(done)),
         (Next::Refuse(after), _) => ("refused", refusal(*after)),
+        (Next::Quarantine(after), _) => ("quarantined", refusal(*after)),
         (Next::Timeout, _) => ("timeout", status(StatusCode::GATEWAY_TIMEOUT)),
         (Next::Fail | Next::Wait(_), _) => ("failed", status(StatusCode::BAD_GATEWAY)),
     }
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -27,6 +27,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tracing::info;
 use tracing::warn;
@@ -90,6 +91,8 @@
     pub way: RefCell<Way>,
     /// The hosts that bounds of the whole fleet are shared with.
     pub roster: RefCell<Roster>,
+    /// Tells that other hosts should hear something of requests under which servers ended.
+    pub quarantine_changed: Notify,
     /// How long questions of other hosts are held up on their way.
     pub delays: RefCell<Delays>,
     /// Connections of callers.
--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod part;
 pub mod peer;
 pub mod pool;
+pub mod quarantine;
 pub mod run;
 pub mod source;
--- a/crates/lentillift-gateway/src/listen.rs
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -10,6 +10,7 @@
 use crate::memory;
 use crate::metric;
 use crate::pool::tune;
+use crate::quarantine;
 use crate::source::Source;
 use bytes::Bytes;
 use http::Request;
@@ -162,6 +163,9 @@
             }
         };
     }
+    if path == quarantine::PATH {
+        return exchange_quarantine(&host, request.into_body()).await;
+    }
     let after = path.strip_prefix(feed::PATH);
     match after.and_then(|after| after.parse().ok()) {
         Some(after) => Response::new(Either::Right(feed::tell::tell(host, after))),
@@ -169,6 +173,25 @@
     }
 }
 
+async fn exchange_quarantine<D, S>(host: &Host<D, S>, body: Incoming) -> Response<Body>
+where
+    D: Dialect,
+    S: Source,
+{
+    let body = http_body_util::Limited::new(body, MOST_BYTES);
+    let answered = match body.collect().await {
+        Ok(body) => quarantine::answer(host, &body.to_bytes()),
+        Err(e) => Err(Error::new(Step::Read, "host", e)),
+    };
+    match answered {
+        Ok(answer) => Response::new(Either::Left(Full::new(answer))),
+        Err(error) => {
+            warn!(event = "quarantine", %error, "not served");
+            bad().map(Either::Left)
+        }
+    }
+}
+
 fn bad() -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = StatusCode::BAD_REQUEST;
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -21,6 +21,9 @@
 /// Backend servers that ended while they had a request of this host.
 pub const SERVERS_ENDED: &str = "lentillift_gateway_servers_ended_total";
 
+/// Changes in what is held of requests under which servers ended, by what is held now.
+pub const QUARANTINE: &str = "lentillift_gateway_quarantine_changes_total";
+
 /// Repeated sends that the budget did not allow.
 pub const UNPAID: &str = "lentillift_gateway_repeats_refused_total";
 
--- /dev/null
+++ b/crates/lentillift-gateway/src/quarantine.rs
@@ -0,0 +1,208 @@
+//! Telling other hosts of requests under which backend servers ended.
+//!
+//! What goes wrong without it: a caller's next attempt comes to a host that knows nothing of it, and each host
+//! in turn has servers ended. News goes to a few hosts at once, who pass on what is new to them; a
+//! host that missed it, or has just started, learns it in an exchange with another one.
+
+pub(crate) mod wire;
+
+use crate::dialect::Dialect;
+use crate::frame;
+use crate::host::Host;
+use crate::metric;
+use crate::source::Source;
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use lentillift_core::error::Error;
+use lentillift_core::error::Result;
+use lentillift_core::error::Step;
+use lentillift_scatter::quarantine::Account;
+use lentillift_scatter::quarantine::State;
+use rand::seq::IteratorRandom;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::debug;
+use tracing::info;
+
+/// Path of these requests.
+pub const PATH: &str = "/v2/quarantine";
+
+/// Hosts that are told of news at once; passed on by each of them it reaches all of 760 in four steps.
+const FANOUT: usize = 8;
+
+/// Time for which news gathers. Most doubts are over within it.
+const GATHER: Duration = Duration::from_millis(5);
+
+/// Time between two exchanges with another host while anything is held, and until the first one has
+/// succeeded.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Time between two attempts at the first exchange.
+const JOIN_PERIOD: Duration = Duration::from_millis(200);
+
+/// Longest time of an exchange.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Requests that are told of in one message.
+const MOST: usize = 64;
+
+/// Largest message, in bytes.
+const MOST_BYTES: usize = 64 * 1024;
+
+/// Tells and asks other hosts until the process is over.
+pub async fn spread<D, S>(host: Rc<Host<D, S>>)
+where
+    D: Dialect,
+    S: Source,
+{
+    let mut has_joined = false;
+    loop {
+        let period = if has_joined { PERIOD } else { JOIN_PERIOD };
+        tokio::select! {
+            () = host.quarantine_changed.notified() => push(&host).await,
+            () = tokio::time::sleep(period) => has_joined |= exchange(&host, has_joined).await,
+        }
+    }
+}
+
+/// Tells some hosts what is new.
+async fn push<D, S>(host: &Rc<Host<D, S>>)
+where
+    D: Dialect,
+    S: Source,
+{
+    tokio::time::sleep(GATHER).await;
+    let mut news = host.core.borrow_mut().quarantine.news(host.now());
+    news.iter().for_each(|account| tell(host, account));
+    // What is decided goes first.
+    news.sort_by_key(|account| account.state == State::Suspect);
+    for accounts in news.chunks(MOST) {
+        for peer in peers(host, FANOUT) {
+            tokio::task::spawn_local(send(host.clone(), peer, accounts.to_vec()));
+        }
+    }
+}
+
+/// Exchanges all that is held with another host; says whether that succeeded.
+async fn exchange<D, S>(host: &Rc<Host<D, S>>, has_joined: bool) -> bool
+where
+    D: Dialect,
+    S: Source,
+{
+    let accounts = host.core.borrow().quarantine.accounts(MOST, host.now());
+    if has_joined && accounts.is_empty() {
+        return true;
+    }
+    match peers(host, 1).first() {
+        Some(peer) => send(host.clone(), *peer, accounts).await,
+        None => false,
+    }
+}
+
+/// Some other hosts that answer.
+fn peers<D, S>(host: &Host<D, S>, count: usize) -> Vec<SocketAddr> {
+    let swim = host.swim.borrow();
+    let addresses = swim.answering().map(|member| member.address);
+    addresses.choose_multiple(&mut rand::rng(), count)
+}
+
+/// Tells a host, and hears what it holds; says whether it answered.
+async fn send<D, S>(host: Rc<Host<D, S>>, peer: SocketAddr, accounts: Vec<Account>) -> bool
+where
+    D: Dialect,
+    S: Source,
+{
+    let answered = tokio::time::timeout(TIMEOUT, call(&host, peer, &accounts)).await;
+    let failed = match answered {
+        Ok(Ok(answer)) => {
+            hear(&host, &peer.to_string(), &answer.accounts);
+            return true;
+        }
+        Ok(Err(error)) => error,
+        Err(_) => {
+            host.peers.drop_connection(peer);
+            Error::new(Step::Read, peer, "no answer in time")
+        }
+    };
+    // The next exchange makes up for it.
+    debug!(event = "quarantine", error = %failed, "not told");
+    false
+}
+
+async fn call<D, S>(
+    host: &Host<D, S>,
+    peer: SocketAddr,
+    accounts: &[Account],
+) -> Result<wire::Message>
+where
+    D: Dialect,
+    S: Source,
+{
+    let body = frame::encode(&wire::Message::from(accounts), &peer.to_string())?;
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = http::Method::POST;
+    *request.uri_mut() = http::Uri::from_static("http://host/v2/quarantine");
+    let response = host.peers.send(peer, request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(Error::new(Step::Read, peer, response.status()));
+    }
+    let body = Limited::new(response.into_body(), MOST_BYTES);
+    let body = body.collect().await;
+    let body = body.map_err(|e| Error::new(Step::Read, peer, e))?;
+    frame::decode(&body.to_bytes(), &peer.to_string())
+}
+
+/// Hears another host, and answers with what is held here.
+///
+/// # Errors
+///
+/// When the message is malformed.
+pub fn answer<D, S>(host: &Host<D, S>, body: &[u8]) -> Result<Bytes>
+where
+    D: Dialect,
+    S: Source,
+{
+    let message: wire::Message = frame::decode(body, "host")?;
+    let held = host.core.borrow().quarantine.accounts(MOST, host.now());
+    hear(host, "host", &message.accounts);
+    frame::encode(&wire::Message::from(held.as_slice()), "host")
+}
+
+/// Takes in what another host holds; what is new is passed on.
+pub(crate) fn hear<D, S>(host: &Host<D, S>, from: &str, accounts: &[wire::Account]) {
+    let accounts: Vec<Account> = accounts.iter().map(Account::from).collect();
+    let now = host.clock.now();
+    let new = host.core.borrow_mut().hear(&accounts, now);
+    if new > 0 {
+        debug!(event = "quarantine", from, new, "heard");
+        host.quarantine_changed.notify_one();
+    }
+}
+
+/// Logs what is decided of a request.
+fn tell<D, S>(host: &Host<D, S>, account: &Account) {
+    let state = match account.state {
+        State::Suspect => "suspect",
+        State::Quarantined { .. } => "quarantined",
+        State::Cleared => "cleared",
+    };
+    host.board.count(metric::QUARANTINE, state);
+    let left = match account.state {
+        State::Quarantined { left, .. } => left,
+        _ => None,
+    };
+    info!(
+        event = "quarantine",
+        fingerprint = %account.fingerprint,
+        state,
+        ends = account.ends.len(),
+        age_ms = account.age.as_millis() as u64,
+        left_ms = left.map(|left| left.as_millis() as u64),
+        "changed"
+    );
+}
--- /dev/null
+++ b/crates/lentillift-gateway/src/quarantine/wire.rs
@@ -0,0 +1,101 @@
+//! What hosts tell each other of requests under which servers ended, as it stands on the wire.
+
+use bincode::Decode;
+use bincode::Encode;
+use lentillift_scatter::fingerprint::Fingerprint;
+use lentillift_scatter::quarantine;
+use lentillift_scatter::quarantine::State;
+use std::time::Duration;
+
+/// What one host tells another.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Message {
+    pub(crate) accounts: Vec<Account>,
+}
+
+/// What a host holds of one request.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Account {
+    pub(crate) fingerprint: [u8; 16],
+    /// Processes that ended under it.
+    pub(crate) ends: Vec<u64>,
+    /// Whether a canary was among them.
+    pub(crate) canary: bool,
+    /// Time since the last end, or since it was cleared.
+    pub(crate) age_ms: u64,
+    pub(crate) stage: Stage,
+}
+
+/// How far it is decided what a request does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub(crate) enum Stage {
+    Suspect,
+    Quarantined {
+        /// Time until a canary may be sent; none once all have been.
+        left_ms: Option<u64>,
+        canaries: u32,
+    },
+    Cleared,
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl From<&[quarantine::Account]> for Message {
+    fn from(accounts: &[quarantine::Account]) -> Self {
+        Self {
+            accounts: accounts.iter().map(Account::from).collect(),
+        }
+    }
+}
+
+impl From<&quarantine::Account> for Account {
+    fn from(account: &quarantine::Account) -> Self {
+        Self {
+            fingerprint: account.fingerprint.0,
+            ends: account.ends.clone(),
+            canary: account.canary,
+            age_ms: millis(account.age),
+            stage: account.state.into(),
+        }
+    }
+}
+
+impl From<&Account> for quarantine::Account {
+    fn from(account: &Account) -> Self {
+        Self {
+            fingerprint: Fingerprint(account.fingerprint),
+            ends: account.ends.clone(),
+            canary: account.canary,
+            age: Duration::from_millis(account.age_ms),
+            state: account.stage.into(),
+        }
+    }
+}
+
+impl From<State> for Stage {
+    fn from(state: State) -> Self {
+        match state {
+            State::Suspect => Self::Suspect,
+            State::Quarantined { left, canaries } => Self::Quarantined {
+                left_ms: left.map(millis),
+                canaries,
+            },
+            State::Cleared => Self::Cleared,
+        }
+    }
+}
+
+impl From<Stage> for State {
+    fn from(stage: Stage) -> Self {
+        match stage {
+            Stage::Suspect => Self::Suspect,
+            Stage::Quarantined { left_ms, canaries } => Self::Quarantined {
+                left: left_ms.map(Duration::from_millis),
+                canaries,
+            },
+            Stage::Cleared => Self::Cleared,
+        }
+    }
+}
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -23,6 +23,7 @@
 use lentillift_scatter::outcome::Outcome;
 use lentillift_scatter::outcome::Send;
 use lentillift_scatter::plan::Plan;
+use lentillift_scatter::quarantine::Account;
 use lentillift_scatter::query::Query;
 use lentillift_scatter::replica::Number;
 use lentillift_scatter::report::Report;
@@ -101,7 +102,8 @@
     let mut run = Run::start(host, plan, message, authority);
     let next = run.finish().await;
     let done = run.done(next);
-    if !run.flights.is_empty() {
+    // Closing their connections may keep servers from ending.
+    if !run.flights.is_empty() && !run.query.is_quarantined() {
         tokio::task::spawn_local(run.outlive());
     }
     done
@@ -135,6 +137,7 @@
             finished: false,
         };
         run.launch(sends);
+        run.tell_quarantine();
         run
     }
 
@@ -309,6 +312,21 @@
             self.query.ended(&mut core, now, number, ended.outcome)
         };
         self.launch(sends);
+        self.tell_quarantine();
+    }
+
+    /// Has other hosts told what this request has shown of itself.
+    fn tell_quarantine(&self) {
+        if self.host.core.borrow().quarantine.has_news() {
+            self.host.quarantine_changed.notify_one();
+        }
+    }
+
+    /// What is held of this request.
+    pub fn account(&self) -> Option<Account> {
+        let core = self.host.core.borrow();
+        core.quarantine
+            .account(self.message.fingerprint, self.host.now())
     }
 
     /// Adds what a host brought to what it brought before.
@@ -332,6 +350,7 @@
             Outcome::Misdirected => "misdirected",
             Outcome::Unreachable => "unreachable",
             Outcome::Broken => "broken",
+            Outcome::Withheld => "withheld",
             Outcome::ServerEnded => "server ended",
         };
         let route = &*self.query.plan().route.name;
@@ -370,18 +389,20 @@
     /// Waits for what is still under way.
     async fn outlive(mut self) {
         while let Some(arrival) = self.flights.next().await {
-            let mut core = self.host.core.borrow_mut();
-            let now = self.host.now();
-            // What it would send now serves nobody.
             let Arrival {
                 number, leg, told, ..
             } = arrival;
-            self.query.close(&mut core, now, number, told.ended.outcome);
+            let now = self.host.now();
+            let outcome = told.ended.outcome;
+            // What it would send now serves nobody.
+            self.query
+                .close(&mut self.host.core.borrow_mut(), now, number, outcome);
             if let Some(rest) = told.rest {
                 let host = self.host.clone();
                 self.flights
                     .push(flight::go_on(host, number, leg, rest).boxed_local());
             }
+            self.tell_quarantine();
         }
     }
 }
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -24,6 +24,7 @@
 use lentillift_gateway::front;
 use lentillift_gateway::host::Host;
 use lentillift_gateway::listen;
+use lentillift_gateway::quarantine;
 use lentillift_gateway::source::Brought;
 use lentillift_gateway::source::Source;
 use lentillift_gateway::source::Watched;
@@ -262,6 +263,7 @@
     }
     host.swim.borrow_mut().serve();
     tokio::task::spawn_local(listen::nodes(host.clone(), listener));
+    tokio::task::spawn_local(quarantine::spread(host.clone()));
     host
 }
 
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -146,6 +146,10 @@
         "lentillift_gateway_sends_total",
         "Sends to backend servers and other hosts, by where they went.",
     ),
+    (
+        "lentillift_gateway_quarantine_changes_total",
+        "Changes in what is held of requests under which backend servers ended, by what is held now.",
+    ),
     (
         "lentillift_gateway_servers_ended_total",
         "Requests whose backend server ended while it had them.",
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -6,12 +6,17 @@
 use crate::budget;
 use crate::caller::Usual;
 use crate::config::Route;
+use crate::fingerprint::Fingerprint;
 use crate::host::Hosts;
 use crate::ledger::Ledger;
 use crate::ledger::Purpose;
 use crate::limit;
 use crate::loss::Loss;
 use crate::quantile;
+use crate::quarantine;
+use crate::quarantine::Admission;
+use crate::quarantine::End;
+use crate::quarantine::Verdict;
 use crate::replica::Load;
 use crate::replica::Number;
 use crate::replica::Sign;
@@ -53,6 +58,8 @@
     /// A host sends and reads one after the other, so a search of many shards takes as long as its
     /// slowest host is busy with it.
     pub direct: usize,
+    /// Figures of quarantine.
+    pub quarantine: quarantine::Options,
     /// What an operator has switched off.
     pub switches: Switches,
 }
@@ -75,6 +82,7 @@
             hedge_by: 0.35,
             branches: true,
             direct: 32,
+            quarantine: quarantine::Options::default(),
             switches: Switches::default(),
         }
     }
@@ -154,6 +162,8 @@
     pub hosts: Hosts,
     /// Shards that other hosts were asked for in vain.
     pub loss: Loss,
+    /// Requests under which backend servers ended.
+    pub quarantine: quarantine::Table,
     /// How far away callers are that have not told.
     pub callers: Usual,
     /// How late this host's timers fire.
@@ -187,6 +197,7 @@
             book: Book::default(),
             hosts: Hosts::default(),
             loss: Loss::default(),
+            quarantine: quarantine::Table::default(),
             callers: Usual::default(),
             lag: Lag::default(),
             ledger: Ledger::default(),
@@ -357,6 +368,63 @@
             .is_some_and(|known| known.last_resort_until.is_none_or(|at| now < at))
     }
 
+    /// The request's fingerprint, if anything is to be remembered of it.
+    pub(crate) fn remembers(&self, fingerprint: Option<Fingerprint>) -> Option<Fingerprint> {
+        let switches = &self.options.switches;
+        fingerprint.filter(|_| switches.is_on(Mechanism::Quarantine))
+    }
+
+    /// How a request that has just arrived is treated.
+    pub fn admit(&mut self, fingerprint: Option<Fingerprint>, now: Time) -> Admission {
+        match self.remembers(fingerprint) {
+            Some(known) => self.quarantine.admit(&self.options.quarantine, known, now),
+            None => Admission::Serve,
+        }
+    }
+
+    /// What is held of a request.
+    pub fn verdict(&self, fingerprint: Option<Fingerprint>, now: Time) -> Verdict {
+        let known = self.remembers(fingerprint);
+        known.map_or(Verdict::Clear, |known| self.quarantine.verdict(known, now))
+    }
+
+    /// Notes that `server` ended while it had the request, with no reply of another to it.
+    pub fn server_ended(
+        &mut self,
+        fingerprint: Option<Fingerprint>,
+        server: &Server,
+        canary: bool,
+        now: Time,
+    ) {
+        if let Some(known) = self.remembers(fingerprint) {
+            let process = quarantine::process(&server.entry);
+            let end = End { process, canary };
+            let options = &self.options.quarantine;
+            self.quarantine.ended(options, known, end, now);
+        }
+    }
+
+    /// Takes in what another host holds of requests under which servers ended; says how much was new.
+    pub fn hear(&mut self, accounts: &[quarantine::Account], now: Time) -> usize {
+        if !self.options.switches.is_on(Mechanism::Quarantine) {
+            return 0;
+        }
+        self.quarantine
+            .hear(&self.options.quarantine, accounts, now)
+    }
+
+    /// Forgets what is known of requests and led to nothing.
+    pub fn forget(&mut self, now: Time) {
+        self.quarantine.expire(&self.options.quarantine, now);
+    }
+
+    /// Notes that a server ran the request and replied.
+    pub fn server_answered(&mut self, fingerprint: Option<Fingerprint>, now: Time) {
+        if let Some(known) = fingerprint {
+            self.quarantine.answered(known, now);
+        }
+    }
+
     /// Notes a send to a backend server.
     pub fn sent(&mut self, number: Number, server: &Server, now: Time) {
         let replica = self.book.get(&server.entry.id);
--- a/crates/lentillift-scatter/src/leg.rs
+++ b/crates/lentillift-scatter/src/leg.rs
@@ -31,6 +31,8 @@
     pub sent: Time,
     /// Whether it was paid for as a repeated send.
     pub repeat: bool,
+    /// Whether it finds out by itself what its request does to a server.
+    pub canary: bool,
 }
 
 /// How far a leg has come.
@@ -69,6 +71,8 @@
     pub failed: Option<Number>,
     /// When another replica is to be asked.
     pub hedge_at: Option<Time>,
+    /// Whether it waits for a canary.
+    pub held: bool,
 }
 
 impl Leg {
@@ -85,6 +89,7 @@
             done: None,
             failed: None,
             hedge_at: None,
+            held: false,
         }
     }
 
@@ -92,7 +97,7 @@
     pub fn state(&self) -> State {
         match self.done {
             Some(number) => State::Done(number),
-            None if !self.tries.is_empty() || self.hedge_at.is_some() => State::Open,
+            None if !self.tries.is_empty() || self.hedge_at.is_some() || self.held => State::Open,
             None if self.arrivals == 0 => State::Declined,
             None => State::Failed,
         }
--- a/crates/lentillift-scatter/src/lib.rs
+++ b/crates/lentillift-scatter/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod outcome;
 pub mod plan;
 pub mod quantile;
+pub mod quarantine;
 pub mod query;
 pub mod record;
 pub mod replica;
--- a/crates/lentillift-scatter/src/outcome.rs
+++ b/crates/lentillift-scatter/src/outcome.rs
@@ -21,6 +21,8 @@
     pub first: Duration,
     /// Whether it repeats an earlier send.
     pub repeat: bool,
+    /// Whether it finds out by itself what its request does to a server.
+    pub canary: bool,
 }
 
 /// How a send ended.
@@ -43,8 +45,10 @@
     },
     /// Another server has the address; it did not run.
     Misdirected,
-    /// It never left this host.
+    /// It never left this host: the server could not be reached.
     Unreachable,
+    /// It never left this host: in the meantime its request became suspect.
+    Withheld,
     /// It may have run; the reply was lost, cut off, late or malformed.
     Broken,
     /// The server's process ended while it had the request.
@@ -82,6 +86,8 @@
     Pass(Number),
     /// It has not run and will not; say when to come back.
     Refuse(Duration),
+    /// It has not run and will not, because it ends the servers that run it; say when to come back.
+    Quarantine(Duration),
     /// It may have run and there is no answer.
     Fail,
     /// It may have run and the time is over.
--- a/crates/lentillift-scatter/src/plan.rs
+++ b/crates/lentillift-scatter/src/plan.rs
@@ -4,6 +4,7 @@
 use crate::config::Route;
 use crate::config::Target;
 use crate::core::Core;
+use crate::fingerprint::Fingerprint;
 use crate::switch::Mechanism;
 use crate::view::View;
 use lentillift_core::id;
@@ -30,6 +31,8 @@
     pub coverage: Option<f64>,
     /// Backend servers that each shard's request may be sent to.
     pub attempts: u32,
+    /// What the request has in common with its other attempts; none if nothing is to be remembered of it.
+    pub fingerprint: Option<Fingerprint>,
     /// Whether other hosts may be asked.
     pub branches: bool,
     /// Whether only backend servers of this failure domain may be asked, and no leg twice.
@@ -74,6 +77,7 @@
             deadline,
             coverage: Some(coverage),
             attempts: route.attempts,
+            fingerprint: None,
             branches: core.options.branches && core.options.switches.is_on(Mechanism::Branches),
             near_only: false,
         }
@@ -96,8 +100,17 @@
             deadline,
             coverage: None,
             attempts: 1,
+            fingerprint: None,
             branches: false,
             near_only: true,
         }
     }
+
+    /// The same plan for a request with this content.
+    pub fn with(self, fingerprint: Fingerprint) -> Self {
+        Self {
+            fingerprint: Some(fingerprint),
+            ..self
+        }
+    }
 }
--- /dev/null
+++ b/crates/lentillift-scatter/src/quarantine.rs
@@ -0,0 +1,226 @@
+//! Requests that end the backend servers which run them, known as queries of death.
+//!
+//! Load pattern: the content of one request ends each server that begins to run it, and its caller asks
+//! again, at any host. Taken for faults of the servers, these ends are made up for at the next replica: one
+//! search ends both replicas of all its shards, again at each attempt, and nothing else is served
+//! meanwhile.
+//!
+//! What tells such a request is that servers ended under it, and that none which ran it ever replied. Until that
+//! is decided, one server at a time finds out (a canary request): a request that was merely there
+//! when servers ended is answered by the canary and served, a few milliseconds later. A request under whose
+//! canary a server ended as well is quarantined at all hosts.
+
+mod account;
+mod record;
+
+pub use account::Account;
+pub use account::State;
+
+use crate::fingerprint::Fingerprint;
+use crate::server::Entry;
+use lentillift_core::time::Time;
+use lentillift_fleet::rendezvous;
+use record::Record;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Identifies one process of a backend server.
+pub type Process = u64;
+
+/// The process that published `entry`.
+pub fn process(entry: &Entry) -> Process {
+    rendezvous::weight(&entry.born.to_string(), &entry.id)
+}
+
+/// Figures of quarantine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// Servers that have to end under a request, with no reply of any, before it is quarantined.
+    pub ends: usize,
+    /// Time after which an end that led to nothing is forgotten.
+    pub memory: Duration,
+    /// Time until a canary finds out whether servers bear the request by now; doubled after each.
+    pub hold: Duration,
+    /// Canaries that are sent for a quarantined request; after the last it is held until it is lifted.
+    pub canaries: u32,
+    /// Requests that are remembered.
+    pub records: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            ends: 3,
+            memory: Duration::from_secs(600),
+            hold: Duration::from_secs(600),
+            canaries: 2,
+            records: 1024,
+        }
+    }
+}
+
+/// What is held of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may be sent as usual.
+    Clear,
+    /// Servers ended under it and none has replied: it may be sent to one server at a time.
+    Suspect,
+    /// It must not be sent.
+    Quarantined(Duration),
+}
+
+/// How a request that has just arrived is treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// As usual.
+    Serve,
+    /// One server at a time, until one replies.
+    Canary,
+    /// Not at all; the time is until it may be asked again.
+    Refuse(Duration),
+}
+
+/// A server that ended while it had a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct End {
+    /// The process that ended.
+    pub process: Process,
+    /// Whether nothing else was sent for the request at that time, because it was suspect.
+    pub canary: bool,
+}
+
+/// Time that is told for a quarantine without an end.
+const FOREVER: Duration = Duration::from_secs(24 * 3600);
+
+/// What this host holds of requests under which servers ended.
+#[derive(Debug, Default)]
+pub struct Table {
+    // INVARIANT: No more than `Options::records`.
+    records: HashMap<Fingerprint, Record>,
+    /// Whether some record has changed since others were told.
+    has_news: bool,
+}
+
+impl Table {
+    /// What is held of a request.
+    pub fn verdict(&self, fingerprint: Fingerprint, now: Time) -> Verdict {
+        match self.records.get(&fingerprint) {
+            Some(record) => record.verdict(now),
+            None => Verdict::Clear,
+        }
+    }
+
+    /// How a request that has just arrived is treated.
+    ///
+    /// The end of a quarantine lets one canary through: the quarantine is renewed before it is sent,
+    /// so that no other host sends one as well.
+    pub fn admit(&mut self, options: &Options, fingerprint: Fingerprint, now: Time) -> Admission {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return Admission::Serve;
+        };
+        if record.renew(options, now) {
+            self.has_news = true;
+            return Admission::Canary;
+        }
+        match record.verdict(now) {
+            Verdict::Clear => Admission::Serve,
+            Verdict::Suspect => Admission::Canary,
+            Verdict::Quarantined(left) => Admission::Refuse(left),
+        }
+    }
+
+    /// Notes a server that ended while it had the request, with no reply of another to it.
+    pub fn ended(&mut self, options: &Options, fingerprint: Fingerprint, end: End, now: Time) {
+        self.make_room(options, fingerprint, now);
+        let record = self.records.entry(fingerprint).or_default();
+        self.has_news |= record.ended(options, end, now);
+    }
+
+    /// Notes that a server ran the request and replied.
+    pub fn answered(&mut self, fingerprint: Fingerprint, now: Time) {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.clear(now);
+            self.has_news |= record.is_news();
+        }
+    }
+
+    /// Lets a request be sent again, by an operator's word; says whether it was known.
+    pub fn lift(&mut self, fingerprint: Fingerprint, now: Time) -> bool {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return false;
+        };
+        let lifted = record.clear(now);
+        self.has_news |= record.is_news();
+        lifted
+    }
+
+    /// Takes in what another host holds; says how much of it was new.
+    pub fn hear(&mut self, options: &Options, accounts: &[Account], now: Time) -> usize {
+        let mut new = 0;
+        for account in accounts {
+            self.make_room(options, account.fingerprint, now);
+            let record = self.records.entry(account.fingerprint).or_default();
+            new += usize::from(record.hear(options, account, now));
+        }
+        self.has_news |= new > 0;
+        new
+    }
+
+    /// Whether others should be told something.
+    pub fn has_news(&self) -> bool {
+        self.has_news
+    }
+
+    /// What has changed since this was last asked for.
+    pub fn news(&mut self, now: Time) -> Vec<Account> {
+        self.has_news = false;
+        let records = self.records.iter_mut();
+        let changed = records.filter_map(|(fingerprint, record)| {
+            let is_news = record.take_news();
+            is_news.then(|| record.account(*fingerprint, now))
+        });
+        changed.collect()
+    }
+
+    /// What is held of `most` requests; the latest first.
+    pub fn accounts(&self, most: usize, now: Time) -> Vec<Account> {
+        let records = self.records.iter();
+        let mut accounts: Vec<Account> = records
+            .map(|(fingerprint, record)| record.account(*fingerprint, now))
+            .collect();
+        accounts.sort_by_key(|account| account.age);
+        accounts.truncate(most);
+        accounts
+    }
+
+    /// What is held of one request.
+    pub fn account(&self, fingerprint: Fingerprint, now: Time) -> Option<Account> {
+        let record = self.records.get(&fingerprint)?;
+        Some(record.account(fingerprint, now))
+    }
+
+    /// Forgets what led to nothing.
+    pub fn expire(&mut self, options: &Options, now: Time) {
+        self.records
+            .retain(|_, record| !record.is_over(options, now));
+    }
+
+    /// Makes room for one more request: first goes what is clear, then what is suspect, then
+    /// the oldest quarantine. Requests that are made up on purpose push each other out.
+    fn make_room(&mut self, options: &Options, fingerprint: Fingerprint, now: Time) {
+        let is_known = self.records.contains_key(&fingerprint);
+        if is_known || self.records.len() < options.records {
+            return;
+        }
+        self.expire(options, now);
+        let records = self.records.iter();
+        let least = records.min_by_key(|(_, record)| record.worth());
+        let least = least.map(|(fingerprint, _)| *fingerprint);
+        if self.records.len() >= options.records
+            && let Some(least) = least
+        {
+            self.records.remove(&least);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentillift-scatter/src/quarantine/account.rs
@@ -0,0 +1,36 @@
+//! What hosts tell each other of requests under which servers ended.
+
+use super::Process;
+use crate::fingerprint::Fingerprint;
+use std::time::Duration;
+
+/// How far it is decided what a request does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// Servers ended under it, and none has replied.
+    Suspect,
+    /// It is not sent.
+    Quarantined {
+        /// Time until a canary may be sent; none once all have been.
+        left: Option<Duration>,
+        /// Canaries that were sent since it was quarantined.
+        canaries: u32,
+    },
+    /// A server ran it and replied, or an operator lifted the quarantine.
+    Cleared,
+}
+
+/// What a host holds of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Account {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Processes that ended under it; no more than decide.
+    pub ends: Vec<Process>,
+    /// Whether a canary was among them.
+    pub canary: bool,
+    /// Time since the last end, or since it was cleared.
+    pub age: Duration,
+    /// What follows.
+    pub state: State,
+}
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -11,8 +11,11 @@
 //! - Shards without a replica in this failure domain are asked for through one host in a failure
 //!   domain that has them. It merges, so that one small reply crosses in place of twenty.
 //! - A request that nobody can serve is refused at once.
+//! - A request under which servers end, with no reply of any, goes to one server at a time, see
+//!   [`crate::quarantine`].
 
 mod again;
+mod doubt;
 mod ended;
 mod first;
 
@@ -22,6 +25,7 @@
 use crate::outcome::Next;
 use crate::outcome::Send;
 use crate::plan::Plan;
+use crate::quarantine::Admission;
 use crate::replica::Number;
 use lentillift_core::id;
 use lentillift_core::time::Time;
@@ -73,6 +77,10 @@
     /// Repeats that the budget did not allow.
     unpaid: u32,
     rejections: usize,
+    /// Whether it is the canary of a quarantined request.
+    trial: bool,
+    /// Time for which its request is quarantined, once it is.
+    quarantined: Option<Duration>,
 }
 
 impl Query {
@@ -86,13 +94,23 @@
             repeats: 0,
             unpaid: 0,
             rejections: 0,
+            trial: false,
+            quarantined: None,
         };
+        let admission = query.admit(core, now);
+        if let Admission::Refuse(left) = admission {
+            query.quarantined = Some(left);
+            return (query, Vec::new());
+        }
         let choices = query.choices(core, now);
         let reachable = choices.iter().flatten().count();
         if !query.suffices(reachable) {
             return (query, Vec::new());
         }
-        let sends = query.first(core, choices, now);
+        let sends = match admission {
+            Admission::Canary => query.first_canary(core, choices, now),
+            _ => query.first(core, choices, now),
+        };
         (query, sends)
     }
 
@@ -111,6 +129,11 @@
         self.unpaid
     }
 
+    /// Whether its request is quarantined.
+    pub fn is_quarantined(&self) -> bool {
+        self.quarantined.is_some()
+    }
+
     /// The service of a leg.
     pub fn service(&self, leg: usize) -> Option<&id::Service> {
         self.legs.get(leg).map(|leg| &leg.service)
@@ -136,6 +159,9 @@
         let done = self.legs.iter().filter(|leg| leg.done.is_some()).count();
         let lost = self.legs.iter().filter(|leg| leg.is_lost()).count();
         let over = now >= self.plan.deadline;
+        if let Some(left) = self.quarantined {
+            return self.give_up(left);
+        }
         let settled = done + lost == self.legs.len();
         let hopeless = !self.suffices(self.legs.len() - lost);
         if self.suffices(done) && (settled || over || now >= self.plan.soft) {
--- a/crates/lentillift-scatter/src/query/again.rs
+++ b/crates/lentillift-scatter/src/query/again.rs
@@ -1,6 +1,7 @@
 //! Asking another replica: after a send that brought nothing, or because it takes too long.
 
 use super::Query;
+use super::doubt::Way;
 use crate::config::Kind;
 use crate::core::Choice;
 use crate::core::Core;
@@ -59,14 +60,23 @@
 
     /// Sends once more for a leg, or sets the time of the next look.
     fn again(&mut self, core: &mut Core, leg: usize, now: Time, turned: Turned) -> Vec<Send> {
-        let state = &self.legs[leg];
-        if self.plan.near_only && state.arrivals > 0 {
+        if self.plan.near_only && self.legs[leg].arrivals > 0 {
+            self.legs[leg].hedge_at = None;
+            return Vec::new();
+        }
+        let is_late = !self.legs[leg].tries.is_empty();
+        if is_late && self.exhausts_hedges(core, now) {
+            return self.look_later(core, leg, now);
+        }
+        let way = self.way(core, leg, now);
+        if matches!(way, Way::Wait | Way::Never) {
+            self.legs[leg].held = way == Way::Wait;
             self.legs[leg].hedge_at = None;
             return Vec::new();
         }
         let once = self.plan.route.kind == Kind::Once;
         let limit = if once { 1 } else { self.plan.attempts as usize };
-        if state.attempts() >= limit {
+        if self.legs[leg].attempts() >= limit {
             self.legs[leg].hedge_at = None;
             return Vec::new();
         }
@@ -86,7 +96,11 @@
             self.unpaid += 1;
             return self.look_later(core, leg, now);
         }
-        vec![self.direct(core, leg, choice.server, now, repeat)]
+        let mut sends = vec![self.direct(core, leg, choice.server, now, repeat)];
+        if way == Way::Canary {
+            self.mark_canary(leg, &mut sends);
+        }
+        sends
     }
 
     /// What one more send for a leg is for: whether the caller would accept the answer without it and
--- a/crates/lentillift-scatter/src/query/ended.rs
+++ b/crates/lentillift-scatter/src/query/ended.rs
@@ -43,20 +43,28 @@
                 if state.done.is_none() {
                     state.done = Some(number);
                     state.hedge_at = None;
+                    state.held = false;
                 }
+                self.server_answered(core, now);
                 return Vec::new();
             }
             Outcome::Failure { .. } => {
                 state.ran.push(backend);
                 state.failed = Some(number);
             }
-            Outcome::Broken | Outcome::ServerEnded | Outcome::Branch(_) => state.ran.push(backend),
+            Outcome::ServerEnded => {
+                state.ran.push(backend);
+                self.server_ended(core, server, sent.canary, now);
+            }
+            Outcome::Broken | Outcome::Branch(_) => state.ran.push(backend),
             Outcome::Rejected { .. } | Outcome::Misdirected => {
                 self.rejections += 1;
                 state.turned_away.push(backend);
             }
-            Outcome::Unreachable => {
-                state.turned_away.push(backend);
+            Outcome::Unreachable | Outcome::Withheld => {
+                if outcome == Outcome::Unreachable {
+                    state.turned_away.push(backend);
+                }
                 state.arrivals -= 1;
                 if sent.repeat {
                     let service = state.service.clone();
@@ -64,6 +72,9 @@
                 }
             }
         }
+        if sent.canary {
+            self.canary_ended(now);
+        }
         self.retry(core, leg, now)
     }
 
@@ -81,6 +92,7 @@
                 (Sign::Misdirected, None)
             }
             Outcome::Unreachable => (Sign::Unreachable, None),
+            Outcome::Withheld => (Sign::Abandoned, None),
             Outcome::Broken | Outcome::ServerEnded | Outcome::Branch(_) => (Sign::Failed, None),
         };
         core.ended(sent.number, &server.entry.id, sign, now, load);
@@ -113,6 +125,7 @@
         };
         if !brought.done.is_empty() {
             branch.arrived(core, now);
+            self.server_answered(core, now);
         }
         if is_told {
             core.loss
@@ -128,6 +141,7 @@
             // this leg is left out in its favour.
             state.done = Some(number);
             state.hedge_at = None;
+            state.held = false;
         }
         for leg in &brought.declined {
             let state = &mut self.legs[*leg];
@@ -189,6 +203,11 @@
             && let Target::Server(server) = &sent.target
         {
             self.note(core, now, &sent, server, &outcome);
+            match outcome {
+                Outcome::Part { .. } => self.server_answered(core, now),
+                Outcome::ServerEnded => self.server_ended(core, server, sent.canary, now),
+                _ => {}
+            }
         }
     }
 
--- a/crates/lentillift-scatter/src/query/first.rs
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -179,6 +179,7 @@
             target: target.clone(),
             sent: now,
             repeat,
+            canary: false,
         });
         state.hedge_at = hedge_at;
         Send {
@@ -188,6 +189,7 @@
             left: self.left(core, now),
             first: Duration::ZERO,
             repeat,
+            canary: false,
         }
     }
 
@@ -223,6 +225,7 @@
                 target: target.clone(),
                 sent: now,
                 repeat: false,
+                canary: false,
             });
             state.hedge_at = Some(now + patience + trip);
         }
@@ -236,6 +239,7 @@
             left: self.left(core, now),
             first: patience,
             repeat: false,
+            canary: false,
         }
     }
 
--- a/crates/lentillift-scatter/src/switch.rs
+++ b/crates/lentillift-scatter/src/switch.rs
@@ -51,6 +51,8 @@
     Relays = "relays",
     /// Packing what is published on its way between hosts.
     Packing = "packing",
+    /// Stopping requests that end the servers which run them.
+    Quarantine = "quarantine",
     /// Asking servers that leave where nothing else is left.
     LastResort = "last-resort",
 }
--- a/crates/lentillift-scatter/tests/common/mod.rs
+++ b/crates/lentillift-scatter/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use lentillift_scatter::config::Target;
 use lentillift_scatter::core::Core;
 use lentillift_scatter::core::Options;
+use lentillift_scatter::fingerprint::Fingerprint;
 use lentillift_scatter::limit::Cold;
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::server::Entry;
@@ -140,6 +141,11 @@
     core
 }
 
+/// The content of a request for `path`.
+pub fn fingerprint(path: &str) -> Fingerprint {
+    Fingerprint::of("GET", "search.example", path, &[])
+}
+
 /// A plan for a request that arrives at noon on a connection of `caller`, by the latest picture.
 pub fn plan(
     core: &mut Core,
@@ -149,5 +155,6 @@
     left: Duration,
 ) -> Plan {
     let view = core.view.clone().expect("a view");
-    Plan::new(core, caller, route, &view, services, NOON, left)
+    let plan = Plan::new(core, caller, route, &view, services, NOON, left);
+    plan.with(fingerprint("/q/x"))
 }
