Test quarantine: what decides, who is spared, and what hosts tell each other

Tables of events and verdicts, agreement of hosts in any order of news (property), bounds, canaries after a quarantine; searches that were merely there when servers ended; actions, branches and hosts that start late.

--- a/crates/lentillift-gateway/tests/fatal.rs
+++ b/crates/lentillift-gateway/tests/fatal.rs
@@ -19,6 +19,7 @@
 use common::singles;
 use common::start;
 use common::status;
+use lentillift_scatter::quarantine::State;
 use lentillift_scatter::source::Item;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -165,3 +166,77 @@
         }
     });
 }
+
+/// The caller of an action comes again after each 502. What it is told has to be true: an action that ended a
+/// server may have run, and one that was not sent has not.
+#[test]
+fn a_fatal_action_is_refused_only_if_it_did_not_run() {
+    run(async {
+        let mut servers = Vec::new();
+        for letter in ['a', 'b', 'c', 'd', 'e'] {
+            servers.push(Fragile::start(Nature::quick(letter)).await);
+        }
+        let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
+        let served = serve(singles(&addresses)).await;
+        let reached = || servers.iter().map(Fragile::fatal).sum::<u32>();
+        for attempt in 0..8 {
+            let is_up = || servers.iter().all(Fragile::is_up);
+            until("all servers are up", is_up).await;
+            let before = reached();
+            let id = format!("i{attempt}");
+            let answer = ask(served.front, &get(&format!("/once/{FATAL}"), &id)).await;
+            let expected = if reached() > before { 502 } else { 503 };
+            assert_eq!(status(&answer), expected, "{answer}");
+        }
+        assert_eq!(reached(), 3);
+    });
+}
+
+/// A host that has just started knows nothing, and the caller comes to it next.
+#[test]
+fn a_host_that_starts_learns_what_is_quarantined() {
+    run(async {
+        let mut fleet = Fleet::start().await;
+        let path = format!("/all/{FATAL}");
+        fleet.ask(0, &path).await;
+        let is_known = |host: &Shared| {
+            let accounts = host.core.borrow().quarantine.accounts(1, host.now());
+            let states = accounts.iter().map(|account| account.state);
+            { states }.any(|state| matches!(state, State::Quarantined { .. }))
+        };
+        until("quarantined", || is_known(&fleet.hosts[0])).await;
+        let late = start("late", "b", vec![config()]).await;
+        introduce(&fleet.hosts[0], &late);
+        until("the late host knows it", || is_known(&late)).await;
+        let answer = ask(front(&late).await, &get(&path, "late")).await;
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert!(header(&answer, "retry-after").is_some(), "{answer}");
+    });
+}
+
+/// A search that lacks shards near its host is asked of another host, under whose eyes the servers end. Asked
+/// for again directly, the servers of its other failure domain would end as well.
+#[test]
+fn a_host_that_is_asked_for_shards_tells_what_ended() {
+    run(async {
+        let mut servers = Vec::new();
+        let mut items = vec![config()];
+        for shard in 0..SHARDS {
+            for domain in ["b", "c"] {
+                let server = Fragile::start(Nature::quick('x')).await;
+                let value = format!("s{shard} {} {domain}", server.address);
+                items.push(item(&format!("b{shard}{domain}"), value));
+                servers.push(server);
+            }
+        }
+        let entry = start("entry", "a", items.clone()).await;
+        let helper = start("helper", "b", items).await;
+        introduce(&helper, &entry);
+        let answer = ask(front(&entry).await, &get(&format!("/all/{FATAL}"), "i")).await;
+        assert_eq!(status(&answer), 502, "{answer}");
+        let ends: u32 = servers.iter().map(Fragile::ends).sum();
+        // One replica of each shard, and the canary.
+        assert!(ends <= SHARDS as u32 + 1, "{ends}");
+        assert!(ended(&helper) >= 3);
+    });
+}
--- /dev/null
+++ b/crates/lentillift-scatter/tests/quarantine.rs
@@ -0,0 +1,264 @@
+//! What is remembered of requests that end backend servers, at one host and between hosts.
+
+mod common;
+
+use common::MS;
+use common::NOON;
+use common::fingerprint;
+use lentillift_core::time::Time;
+use lentillift_scatter::fingerprint::Fingerprint;
+use lentillift_scatter::quarantine::Account;
+use lentillift_scatter::quarantine::Admission;
+use lentillift_scatter::quarantine::End;
+use lentillift_scatter::quarantine::Options;
+use lentillift_scatter::quarantine::Process;
+use lentillift_scatter::quarantine::State;
+use lentillift_scatter::quarantine::Table;
+use lentillift_scatter::quarantine::Verdict;
+use proptest::prelude::*;
+
+/// Something that a table learns of the request `/fatal`.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    /// A server ended under an ordinary send.
+    Ends(Process),
+    /// A server ended under a canary.
+    CanaryEnds(Process),
+    Answered,
+}
+
+use Event::Answered;
+use Event::CanaryEnds;
+use Event::Ends;
+
+fn fatal() -> Fingerprint {
+    fingerprint("/fatal")
+}
+
+fn learn(table: &mut Table, events: &[Event], now: Time) {
+    let options = Options::default();
+    for event in events {
+        let end = |process, canary| End { process, canary };
+        match *event {
+            Ends(process) => table.ended(&options, fatal(), end(process, false), now),
+            CanaryEnds(process) => table.ended(&options, fatal(), end(process, true), now),
+            Answered => table.answered(fatal(), now),
+        }
+    }
+}
+
+/// A table that has learnt `events` at noon.
+fn table(events: &[Event]) -> Table {
+    let mut table = Table::default();
+    learn(&mut table, events, NOON);
+    table
+}
+
+/// One that quarantined the request at noon.
+fn quarantined() -> Table {
+    table(&[Ends(1), Ends(2), CanaryEnds(3)])
+}
+
+macro_rules! admits {
+    ($($(#[$doc:meta])* $name:ident: $events:expr => $admission:pat,)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let admission = table(&$events).admit(&Options::default(), fatal(), NOON + MS);
+            assert!(matches!(admission, $admission), "{admission:?}");
+        }
+    )*};
+}
+
+admits! {
+    an_unknown_request_is_served: [] => Admission::Serve,
+    one_end_makes_it_suspect: [Ends(1)] => Admission::Canary,
+    two_ends_are_not_enough: [Ends(1), CanaryEnds(2)] => Admission::Canary,
+    /// Servers that ended together may have ended for another reason, and the request was merely there.
+    ends_of_one_moment_are_not_enough: [Ends(1), Ends(2), Ends(3), Ends(4)] => Admission::Canary,
+    /// A process that ends once breaks many connections.
+    one_server_counts_once: [Ends(1), Ends(1), CanaryEnds(1)] => Admission::Canary,
+    three_ends_with_a_canary_quarantine_it: [Ends(1), Ends(2), CanaryEnds(3)] => Admission::Refuse(_),
+    the_order_does_not_matter: [CanaryEnds(3), Ends(2), Ends(1)] => Admission::Refuse(_),
+    a_reply_clears_it: [Ends(1), Ends(2), CanaryEnds(3), Answered] => Admission::Serve,
+    ends_before_a_reply_do_not_count: [Ends(1), Ends(2), Answered, CanaryEnds(3)] => Admission::Canary,
+}
+
+#[test]
+fn other_requests_are_served() {
+    let mut table = quarantined();
+    for path in ["/fatal?", "/Fatal", "/fata", "/fatal/"] {
+        let admission = table.admit(&Options::default(), fingerprint(path), NOON);
+        assert_eq!(admission, Admission::Serve, "{path}");
+    }
+}
+
+/// Fields that run into each other would give two requests one fingerprint.
+#[test]
+fn fields_do_not_run_into_each_other() {
+    let one = Fingerprint::of("GET", "ab", "/c", b"d");
+    let others = [
+        Fingerprint::of("GET", "a", "b/c", b"d"),
+        Fingerprint::of("GET", "ab", "/", b"cd"),
+        Fingerprint::of("GETa", "b", "/c", b"d"),
+        Fingerprint::of("GET", "ab", "/c", b"e"),
+    ];
+    assert!(others.iter().all(|other| *other != one));
+}
+
+/// A quarantine that never ends refuses a request that servers bear by now. One host sends one canary; the
+/// quarantine is renewed for all others before, and after the last canary it stays.
+#[test]
+fn canaries_find_out_whether_a_quarantine_is_over() {
+    let options = Options::default();
+    let mut table = quarantined();
+    let mut other = Table::default();
+    let mut now = NOON;
+    for canary in 0..options.canaries {
+        now += options.hold * 2_u32.pow(canary);
+        assert_eq!(table.admit(&options, fatal(), now), Admission::Canary);
+        other.hear(&options, &table.news(now), now);
+        for host in [&mut table, &mut other] {
+            let admission = host.admit(&options, fatal(), now + MS);
+            assert!(matches!(admission, Admission::Refuse(_)), "{admission:?}");
+        }
+        learn(&mut table, &[CanaryEnds(100)], now + MS);
+    }
+    now += options.hold * 1000;
+    for host in [&mut table, &mut other] {
+        host.expire(&options, now);
+        let admission = host.admit(&options, fatal(), now);
+        assert!(matches!(admission, Admission::Refuse(_)), "{admission:?}");
+    }
+}
+
+#[test]
+fn a_canary_that_is_answered_ends_the_quarantine_everywhere() {
+    let options = Options::default();
+    let mut table = quarantined();
+    let mut other = Table::default();
+    other.hear(&options, &table.news(NOON), NOON);
+    let now = NOON + options.hold;
+    assert_eq!(table.admit(&options, fatal(), now), Admission::Canary);
+    learn(&mut table, &[Answered], now + MS);
+    other.hear(&options, &table.news(now + MS), now + MS);
+    for host in [&mut table, &mut other] {
+        let admission = host.admit(&options, fatal(), now + MS);
+        assert_eq!(admission, Admission::Serve);
+    }
+}
+
+/// A third host that has not heard of an operator's word tells of the quarantine once more.
+#[test]
+fn late_news_does_not_bring_a_lifted_quarantine_back() {
+    let options = Options::default();
+    let mut table = quarantined();
+    let old = table.accounts(10, NOON);
+    assert!(table.lift(fatal(), NOON + MS));
+    let later: Vec<Account> = old
+        .into_iter()
+        .map(|account| Account {
+            age: account.age + MS * 50,
+            ..account
+        })
+        .collect();
+    assert_eq!(table.hear(&options, &later, NOON + MS * 50), 0);
+    assert_eq!(table.verdict(fatal(), NOON + MS * 50), Verdict::Clear);
+}
+
+/// Most doubts end within milliseconds; telling the fleet of each would be a message a host and request
+/// whenever a server ends.
+#[test]
+fn a_doubt_that_was_not_told_ends_without_a_word() {
+    let mut table = table(&[Ends(1), Answered]);
+    assert!(table.news(NOON).is_empty());
+}
+
+/// A caller that sends thousands of different requests which end servers would take all memory.
+#[test]
+fn memory_is_bounded_and_quarantines_are_forgotten_last() {
+    let options = Options {
+        records: 100,
+        ..Options::default()
+    };
+    let mut table = quarantined();
+    for n in 0..1000 {
+        let end = End {
+            process: n,
+            canary: false,
+        };
+        let path = format!("/{n}");
+        table.ended(&options, fingerprint(&path), end, NOON + MS);
+    }
+    assert_eq!(table.accounts(usize::MAX, NOON).len(), options.records);
+    assert!(matches!(
+        table.verdict(fatal(), NOON),
+        Verdict::Quarantined(_)
+    ));
+}
+
+#[test]
+fn a_doubt_is_forgotten_after_a_while() {
+    let options = Options::default();
+    let mut table = table(&[Ends(1), Ends(2)]);
+    table.expire(&options, NOON + options.memory);
+    assert!(table.accounts(10, NOON).is_empty());
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![(0..6_u64).prop_map(Ends), (0..6_u64).prop_map(CanaryEnds),];
+    prop::collection::vec(event, 0..6)
+}
+
+proptest! {
+    /// Each host sees some of the ends and hears of the others, in any order and more than once. Hosts that
+    /// have heard everything treat the request alike, and as one that saw all of it.
+    #[test]
+    fn hosts_agree_once_they_have_heard_each_other(
+        seen in prop::collection::vec(events(), 3),
+        order in prop::collection::vec((0..3_usize, 0..3_usize), 0..8),
+    ) {
+        let options = Options::default();
+        let mut hosts: Vec<Table> = seen.iter().map(|events| table(events)).collect();
+        let everyone = (0..3).flat_map(|a| (0..3).map(move |b| (a, b)));
+        let twice: Vec<_> = everyone.clone().chain(everyone).collect();
+        for (from, to) in order.into_iter().chain(twice) {
+            let accounts = hosts[from].accounts(usize::MAX, NOON);
+            hosts[to].hear(&options, &accounts, NOON);
+        }
+        let all: Vec<Event> = seen.concat();
+        let one = table(&all).verdict(fatal(), NOON);
+        for host in &hosts {
+            let verdict = host.verdict(fatal(), NOON);
+            prop_assert_eq!(std::mem::discriminant(&verdict), std::mem::discriminant(&one));
+        }
+    }
+
+    /// What hosts tell each other never quarantines a request under which fewer servers ended than it takes.
+    #[test]
+    fn fewer_ends_never_quarantine(events in prop::collection::vec(0..2_u64, 0..20)) {
+        let options = Options::default();
+        let mut hosts = [Table::default(), Table::default()];
+        for (n, process) in events.into_iter().enumerate() {
+            learn(&mut hosts[n % 2], &[CanaryEnds(process)], NOON);
+            let accounts = hosts[n % 2].accounts(10, NOON);
+            hosts[(n + 1) % 2].hear(&options, &accounts, NOON);
+        }
+        for host in &hosts {
+            let verdict = host.verdict(fatal(), NOON);
+            prop_assert!(!matches!(verdict, Verdict::Quarantined(_)), "{:?}", verdict);
+        }
+    }
+}
+
+/// What is told names no more processes than decide.
+#[test]
+fn accounts_are_small() {
+    let ends: Vec<Event> = (0..50).map(Ends).collect();
+    let accounts = table(&ends).accounts(10, NOON);
+    let [account] = accounts.as_slice() else {
+        panic!("{accounts:?}");
+    };
+    assert_eq!(account.ends.len(), Options::default().ends);
+    assert_eq!(account.state, State::Suspect);
+}
