--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::host::Host;
 use crate::host::Stage;
 use crate::listen;
+use crate::listen::Audience;
 use crate::member;
 use crate::metric;
 use crate::metric::Board;
@@ -157,9 +158,9 @@
     info!(event = "start", host = %host.name, domain = %host.domain, front = %settings.front, "up");
     if let Some(address) = settings.metrics {
         let listener = bind(address).await?;
-        tokio::task::spawn_local(listen::plain(host.clone(), listener));
+        tokio::task::spawn_local(listen::plain(host.clone(), listener, Audience::Operators));
     }
-    tokio::task::spawn_local(listen::plain(host.clone(), ready));
+    tokio::task::spawn_local(listen::plain(host.clone(), ready, Audience::Balancer));
     tokio::task::spawn_local(listen::nodes(host.clone(), node));
     tokio::task::spawn_local(member::run(host.clone(), socket.clone()));
     tokio::task::spawn_local(feed::follow(host.clone()));
--- a/crates/lentillift-gateway/src/listen.rs
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -13,6 +13,7 @@
 use crate::quarantine;
 use crate::source::Source;
 use bytes::Bytes;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -56,8 +57,17 @@
     }
 }
 
-/// Tells the balancer and operators how this process is.
-pub async fn plain<D, S>(host: Rc<Host<D, S>>, listener: TcpListener)
+/// Whom a listener is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// The balancer, which asks whether callers should be sent here.
+    Balancer,
+    /// Operators, who may read metrics and lift quarantines as well.
+    Operators,
+}
+
+/// Tells the balancer or operators how this process is.
+pub async fn plain<D, S>(host: Rc<Host<D, S>>, listener: TcpListener, audience: Audience)
 where
     D: Dialect,
     S: Source,
@@ -67,7 +77,10 @@
         let host = host.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
-                let response = report(&host, request.uri().path());
+                let response = match audience {
+                    Audience::Balancer => readiness(&host),
+                    Audience::Operators => operate(&host, &request),
+                };
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new()
@@ -98,16 +111,37 @@
     board.render(now)
 }
 
-fn report<D, S>(host: &Host<D, S>, path: &str) -> Response<Full<Bytes>>
+fn readiness<D, S>(host: &Host<D, S>) -> Response<Full<Bytes>>
 where
     D: Dialect,
     S: Source,
 {
     let mut response = Response::new(Full::default());
+    if !host.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+fn operate<D, S>(host: &Host<D, S>, request: &Request<Incoming>) -> Response<Full<Bytes>>
+where
+    D: Dialect,
+    S: Source,
+{
+    let path = request.uri().path();
+    let text = |text: String| Response::new(Full::new(text.into()));
     match path {
-        "/metrics" => *response.body_mut() = Full::new(metrics(host).into()),
-        _ if host.is_ready() => {}
-        _ => *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
+        "/metrics" => return text(metrics(host)),
+        quarantine::LIST => return text(quarantine::list(host)),
+        _ => {}
+    }
+    let lifted = path.strip_prefix(quarantine::LIFT);
+    let Some(fingerprint) = lifted.filter(|_| request.method() == Method::DELETE) else {
+        return readiness(host);
+    };
+    let mut response = Response::new(Full::default());
+    if !quarantine::lift(host, fingerprint) {
+        *response.status_mut() = StatusCode::NOT_FOUND;
     }
     response
 }
--- a/crates/lentillift-gateway/src/quarantine.rs
+++ b/crates/lentillift-gateway/src/quarantine.rs
@@ -32,6 +32,12 @@
 /// Path of these requests.
 pub const PATH: &str = "/v2/quarantine";
 
+/// Path at which operators read what is held, a request a line.
+pub const LIST: &str = "/quarantine";
+
+/// Beginning of the path, before a fingerprint, whose deletion lets a request be sent again.
+pub const LIFT: &str = "/quarantine/";
+
 /// Hosts that are told of news at once; passed on by each of them it reaches all of 760 in four steps.
 pub const FANOUT: usize = 8;
 
@@ -197,25 +203,70 @@
     }
 }
 
-/// Logs what is decided of a request.
-fn tell<D, S>(host: &Host<D, S>, account: &Account) {
-    let state = match account.state {
+fn name(state: State) -> &'static str {
+    match state {
         State::Suspect => "suspect",
         State::Quarantined { .. } => "quarantined",
         State::Cleared => "cleared",
-    };
-    host.board.count(metric::QUARANTINE, state);
-    let left = match account.state {
+    }
+}
+
+/// Time until a canary may be sent for a request that is quarantined.
+fn left(state: State) -> Option<Duration> {
+    match state {
         State::Quarantined { left, .. } => left,
         _ => None,
-    };
+    }
+}
+
+/// What is held, for operators: `FINGERPRINT STATE ends=N age_s=N left_s=N` a request, the latest first.
+/// A quarantine without `left_s` stays until it is lifted.
+pub fn list<D, S>(host: &Host<D, S>) -> String {
+    let accounts = host
+        .core
+        .borrow()
+        .quarantine
+        .accounts(usize::MAX, host.clock.now());
+    let lines = accounts.iter().map(|account| {
+        let left = left(account.state).map(|left| format!(" left_s={}", left.as_secs()));
+        format!(
+            "{} {} ends={} age_s={}{}\n",
+            account.fingerprint,
+            name(account.state),
+            account.ends.len(),
+            account.age.as_secs(),
+            left.unwrap_or_default(),
+        )
+    });
+    lines.collect()
+}
+
+/// Lets a request be sent again at all hosts; says whether it was held.
+pub fn lift<D, S>(host: &Host<D, S>, fingerprint: &str) -> bool {
+    let now = host.clock.now();
+    let mut core = host.core.borrow_mut();
+    let held = core.quarantine.accounts(usize::MAX, now);
+    let mut named = held.iter().map(|account| account.fingerprint);
+    let named = named.find(|known| known.to_string() == fingerprint);
+    let is_lifted = named.is_some_and(|known| core.quarantine.lift(known, now));
+    if is_lifted {
+        info!(event = "quarantine", fingerprint, "lifted by an operator");
+        host.quarantine_changed.notify_one();
+    }
+    is_lifted
+}
+
+/// Logs what is decided of a request.
+fn tell<D, S>(host: &Host<D, S>, account: &Account) {
+    let state = name(account.state);
+    host.board.count(metric::QUARANTINE, state);
     info!(
         event = "quarantine",
         fingerprint = %account.fingerprint,
         state,
         ends = account.ends.len(),
         age_ms = account.age.as_millis() as u64,
-        left_ms = left.map(|left| left.as_millis() as u64),
+        left_ms = left(account.state).map(|left| left.as_millis() as u64),
         "changed"
     );
 }
--- a/crates/lentillift-gateway/tests/fatal.rs
+++ b/crates/lentillift-gateway/tests/fatal.rs
@@ -14,11 +14,14 @@
 use common::header;
 use common::introduce;
 use common::item;
+use common::listener;
 use common::run;
 use common::serve;
 use common::singles;
 use common::start;
 use common::status;
+use lentillift_gateway::listen;
+use lentillift_gateway::listen::Audience;
 use lentillift_scatter::quarantine::State;
 use lentillift_scatter::source::Item;
 use std::net::SocketAddr;
@@ -240,3 +243,47 @@
         assert!(ended(&helper) >= 3);
     });
 }
+
+async fn operate(address: SocketAddr, method: &str, path: &str) -> String {
+    let request = format!("{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n");
+    ask(address, &request).await
+}
+
+/// Servers have been mended, and the request that ended them is refused until an operator lifts that at one
+/// of the hosts.
+#[test]
+fn operators_see_and_lift_a_quarantine() {
+    run(async {
+        let mut fleet = Fleet::start().await;
+        let path = format!("/all/{FATAL}");
+        fleet.ask(0, &path).await;
+        let (listener, address) = listener().await;
+        let host = fleet.hosts[2].clone();
+        tokio::task::spawn_local(listen::plain(host, listener, Audience::Operators));
+        let mut list = String::new();
+        for _ in 0..LOOKS {
+            list = operate(address, "GET", "/quarantine").await;
+            if list.contains(" quarantined ends=3 ") {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        let line = list.lines().last().expect("a line");
+        let fingerprint = line.split(' ').next().expect("a fingerprint");
+        let held = format!("/quarantine/{fingerprint}");
+        let other = operate(address, "DELETE", "/quarantine/0123").await;
+        assert_eq!(status(&other), 404);
+        assert_eq!(status(&fleet.ask(0, &path).await), 503);
+        assert_eq!(status(&operate(address, "DELETE", &held).await), 200);
+        let is_clear = |host: &Shared| {
+            let accounts = host.core.borrow().quarantine.accounts(1, host.now());
+            accounts
+                .iter()
+                .all(|account| account.state == State::Cleared)
+        };
+        for host in &fleet.hosts {
+            until("lifted", || is_clear(host)).await;
+        }
+        assert_eq!(status(&fleet.ask(0, &path).await), 502);
+    });
+}
--- a/crates/lentillift/src/command.rs
+++ b/crates/lentillift/src/command.rs
@@ -6,6 +6,7 @@
 pub(crate) mod explain;
 pub(crate) mod init;
 pub(crate) mod load;
+pub(crate) mod quarantine;
 pub(crate) mod query;
 pub(crate) mod service;
 pub(crate) mod status;
@@ -52,6 +53,7 @@
     query::COMMAND,
     timeline::COMMAND,
     explain::COMMAND,
+    quarantine::COMMAND,
     load::COMMAND,
 ];
 
--- a/crates/lentillift/src/story.rs
+++ b/crates/lentillift/src/story.rs
@@ -222,6 +222,10 @@
             "refused" => format!(
                 "cause: nobody could serve it ({sends} sends turned away or unreachable); it did not run"
             ),
+            "quarantined" => format!(
+                "cause: backend servers ended under requests with its content, fingerprint {}; it did not run",
+                text("fingerprint")
+            ),
             "failed" | "timeout" => format!(
                 "cause: {sends} events on the way, {} repeats made, {} not allowed by the budget",
                 number("repeats"),
--- a/crates/lentillift/tests/help.rs
+++ b/crates/lentillift/tests/help.rs
@@ -30,4 +30,5 @@
     timeline: "timeline";
     load: "load";
     explain: "explain";
+    quarantine: "quarantine";
 }
