--- a/crates/lentillift-gateway/src/quarantine.rs
+++ b/crates/lentillift-gateway/src/quarantine.rs
@@ -107,16 +107,20 @@
     }
 }
 
-/// Exchanges all that is held with another host; says whether that succeeded.
+/// Exchanges with another host what it may not have heard of; says whether that succeeded.
 async fn exchange<D, S>(host: &Rc<Host<D, S>>, has_joined: bool) -> bool
 where
     D: Dialect,
     S: Source,
 {
-    let accounts = host.core.borrow().quarantine.accounts(MOST, host.now());
-    if has_joined && accounts.is_empty() {
+    let held = host.core.borrow().quarantine.accounts(MOST, host.now());
+    if has_joined && held.is_empty() {
         return true;
     }
+    let accounts = match has_joined {
+        true => worth_telling(held),
+        false => Vec::new(),
+    };
     match peers(host, 1).first() {
         Some(peer) => send(host.clone(), *peer, accounts).await,
         None => false,
@@ -176,7 +180,16 @@
     frame::decode(&body.to_bytes(), &peer.to_string())
 }
 
-/// Hears another host, and answers with what is held here.
+/// What is young, if anything is; the rest has reached nearly all hosts and is told in calm times.
+pub fn worth_telling(mut held: Vec<Account>) -> Vec<Account> {
+    if held.iter().any(|account| account.age < RECENT) {
+        held.retain(|account| account.age < RECENT);
+    }
+    held
+}
+
+/// Hears another host, and answers with what is held here: all of it to a host that tells nothing, since it has
+/// just started.
 ///
 /// # Errors
 ///
@@ -189,7 +202,11 @@
     let message: wire::Message = frame::decode(body, "host")?;
     let held = host.core.borrow().quarantine.accounts(MOST, host.now());
     hear(host, "host", &message.accounts);
-    frame::encode(&wire::Message::from(held.as_slice()), "host")
+    let told = match message.accounts.is_empty() {
+        true => held,
+        false => worth_telling(held),
+    };
+    frame::encode(&wire::Message::from(told.as_slice()), "host")
 }
 
 /// Takes in what another host holds; what is new is passed on.
--- a/crates/lentillift-scatter/tests/queries.rs
+++ b/crates/lentillift-scatter/tests/queries.rs
@@ -319,6 +319,45 @@
     a_fatal_action: pool(9, Kind::Once), 3;
 }
 
+/// Sends wait for connections while the first server ends. They are withheld, which is not the servers' fault, and
+/// go out once the canary has been answered.
+#[test]
+fn sends_that_are_withheld_go_out_after_the_canary() {
+    let (mut core, route) = pairs(3, 1.0);
+    let route = Arc::new(route);
+    let plan = common::plan(
+        &mut core,
+        &mut Caller::default(),
+        &route,
+        names(3),
+        PATIENCE,
+    );
+    let (mut query, first) = Query::start(&mut core, plan, NOON);
+    let [ends, waits, waits_too] = first.as_slice() else {
+        panic!("{first:?}");
+    };
+    let now = NOON + MS;
+    let canary = query.ended(&mut core, now, ends.number, Outcome::ServerEnded);
+    assert!(
+        matches!(canary.as_slice(), [send] if send.canary),
+        "{canary:?}"
+    );
+    for send in [waits, waits_too] {
+        let held = query.ended(&mut core, now, send.number, Outcome::Withheld);
+        assert!(held.is_empty(), "{held:?}");
+    }
+    let now = NOON + MS * 10;
+    let load = None;
+    query.ended(&mut core, now, canary[0].number, Outcome::Part { load });
+    let sends = query.tick(&mut core, now);
+    assert_eq!(sends.len(), 2, "{sends:?}");
+    assert!(
+        sends.iter().all(|send| !send.repeat && !send.canary),
+        "{sends:?}"
+    );
+    assert_eq!(query.repeats(), 1);
+}
+
 /// Another host asks for shards of a search under which servers ended here. It is told so, and nothing is
 /// sent: what it knows decides.
 #[test]
