--- a/crates/lentillift-core/src/lib.rs
+++ b/crates/lentillift-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod coverage;
 pub mod error;
+pub mod fingerprint;
 pub mod hit;
 pub mod id;
 pub mod outcome;
--- a/crates/lentillift-core/src/sub.rs
+++ b/crates/lentillift-core/src/sub.rs
@@ -89,6 +89,8 @@
     Shed,
     /// The connection failed before, during or after the request was written.
     Connection,
+    /// The backend server's process ended while it had the request.
+    Ended,
     /// The reply did not come in time.
     Timeout,
     /// The reply was malformed, too large, or for something else.
--- a/crates/lentillift-entry/src/core/settle.rs
+++ b/crates/lentillift-entry/src/core/settle.rs
@@ -265,6 +265,6 @@
         Failure::Out => Reason::DomainOut,
         Failure::NotOwner => Reason::NoReplica,
         Failure::Timeout => Reason::Deadline,
-        Failure::Connection | Failure::Malformed => Reason::Failed,
+        Failure::Connection | Failure::Ended | Failure::Malformed => Reason::Failed,
     }
 }
--- a/crates/lentillift-fleet/src/lib.rs
+++ b/crates/lentillift-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod packet;
 mod picture;
 pub mod probe;
+pub mod quarantine;
 pub mod read;
 pub mod rendezvous;
 pub mod seen;
--- a/crates/lentillift-scatter/src/quarantine.rs
+++ b/crates/lentillift-fleet/src/quarantine.rs
@@ -16,10 +16,9 @@
 pub use account::Account;
 pub use account::State;
 
-use crate::fingerprint::Fingerprint;
-use crate::server::Entry;
+use crate::rendezvous;
+use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::time::Time;
-use lentillift_fleet::rendezvous;
 use record::Record;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -27,9 +26,9 @@
 /// Identifies one process of a backend server.
 pub type Process = u64;
 
-/// The process that published `entry`.
-pub fn process(entry: &Entry) -> Process {
-    rendezvous::weight(&entry.born.to_string(), &entry.id)
+/// The process of the backend server that `start` tells from those before and after it.
+pub fn process(backend: &str, start: u64) -> Process {
+    rendezvous::weight(&start.to_string(), backend)
 }
 
 /// Figures of quarantine.
--- a/crates/lentillift-scatter/src/quarantine/account.rs
+++ b/crates/lentillift-fleet/src/quarantine/account.rs
@@ -1,7 +1,7 @@
 //! What hosts tell each other of requests under which servers ended.
 
 use super::Process;
-use crate::fingerprint::Fingerprint;
+use lentillift_core::fingerprint::Fingerprint;
 use std::time::Duration;
 
 /// How far it is decided what a request does.
--- a/crates/lentillift-scatter/src/quarantine/record.rs
+++ b/crates/lentillift-fleet/src/quarantine/record.rs
@@ -7,7 +7,7 @@
 use super::Process;
 use super::State;
 use super::Verdict;
-use crate::fingerprint::Fingerprint;
+use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::time::Time;
 use std::time::Duration;
 
--- a/crates/lentillift-scatter/tests/quarantine.rs
+++ b/crates/lentillift-fleet/tests/quarantine.rs
@@ -1,21 +1,25 @@
 //! What is remembered of requests that end backend servers, at one host and between hosts.
 
-mod common;
-
-use common::MS;
-use common::NOON;
-use common::fingerprint;
+use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::time::Time;
-use lentillift_scatter::fingerprint::Fingerprint;
-use lentillift_scatter::quarantine::Account;
-use lentillift_scatter::quarantine::Admission;
-use lentillift_scatter::quarantine::End;
-use lentillift_scatter::quarantine::Options;
-use lentillift_scatter::quarantine::Process;
-use lentillift_scatter::quarantine::State;
-use lentillift_scatter::quarantine::Table;
-use lentillift_scatter::quarantine::Verdict;
+use lentillift_fleet::quarantine::Account;
+use lentillift_fleet::quarantine::Admission;
+use lentillift_fleet::quarantine::End;
+use lentillift_fleet::quarantine::Options;
+use lentillift_fleet::quarantine::Process;
+use lentillift_fleet::quarantine::State;
+use lentillift_fleet::quarantine::Table;
+use lentillift_fleet::quarantine::Verdict;
 use proptest::prelude::*;
+use std::time::Duration;
+
+const MS: Duration = Duration::from_millis(1);
+const NOON: Time = Duration::from_secs(1000);
+
+/// The content of a request for `path`.
+fn fingerprint(path: &str) -> Fingerprint {
+    Fingerprint::of("GET", "search.example", path, &[])
+}
 
 /// Something that a table learns of the request `/fatal`.
 #[derive(Debug, Clone, Copy)]
--- a/crates/lentillift-gateway/src/ending.rs
+++ b/crates/lentillift-gateway/src/ending.rs
@@ -2,9 +2,9 @@
 
 use crate::part::Done;
 use http::StatusCode;
+use lentillift_core::fingerprint::Fingerprint;
 use lentillift_scatter::config::Route;
 use lentillift_scatter::config::Version;
-use lentillift_scatter::fingerprint::Fingerprint;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::info;
--- a/crates/lentillift-gateway/src/message.rs
+++ b/crates/lentillift-gateway/src/message.rs
@@ -6,7 +6,7 @@
 use http::Method;
 use http::Uri;
 use http::header;
-use lentillift_scatter::fingerprint::Fingerprint;
+use lentillift_core::fingerprint::Fingerprint;
 
 /// A request, without what concerns only the connection it came on.
 #[derive(Debug, Clone)]
--- a/crates/lentillift-gateway/src/quarantine/wire.rs
+++ b/crates/lentillift-gateway/src/quarantine/wire.rs
@@ -2,9 +2,9 @@
 
 use bincode::Decode;
 use bincode::Encode;
-use lentillift_scatter::fingerprint::Fingerprint;
-use lentillift_scatter::quarantine;
-use lentillift_scatter::quarantine::State;
+use lentillift_core::fingerprint::Fingerprint;
+use lentillift_fleet::quarantine;
+use lentillift_fleet::quarantine::State;
 use std::time::Duration;
 
 /// What one host tells another.
--- a/crates/lentillift-gateway/tests/rumors.rs
+++ b/crates/lentillift-gateway/tests/rumors.rs
@@ -1,16 +1,16 @@
 //! How fast all hosts know what one of them has quarantined, over modelled links in virtual time.
 
+use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::time::Time;
+use lentillift_fleet::quarantine::Account;
+use lentillift_fleet::quarantine::End;
+use lentillift_fleet::quarantine::Options;
+use lentillift_fleet::quarantine::Table;
+use lentillift_fleet::quarantine::Verdict;
 use lentillift_gateway::quarantine::FANOUT;
 use lentillift_gateway::quarantine::SHORT_PERIOD;
 use lentillift_gateway::quarantine::period;
 use lentillift_gateway::quarantine::worth_telling;
-use lentillift_scatter::fingerprint::Fingerprint;
-use lentillift_scatter::quarantine::Account;
-use lentillift_scatter::quarantine::End;
-use lentillift_scatter::quarantine::Options;
-use lentillift_scatter::quarantine::Table;
-use lentillift_scatter::quarantine::Verdict;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/crates/lentillift-node/src/wire.rs
+++ b/crates/lentillift-node/src/wire.rs
@@ -123,6 +123,7 @@
         Connection,
         Timeout,
         Malformed,
+        Ended,
     }
 }
 
--- a/crates/lentillift-owner/src/server.rs
+++ b/crates/lentillift-owner/src/server.rs
@@ -269,7 +269,7 @@
                 self.replied(policy, latency, flight, !cold, &mut changes);
             }
             sub::Result::Failed { failure, .. } => match failure {
-                Failure::Connection => {
+                Failure::Connection | Failure::Ended => {
                     self.chill(policy, Sign::Connection, &mut changes);
                     self.failed(policy, now, &mut changes);
                 }
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -6,27 +6,28 @@
 use crate::budget;
 use crate::caller::Usual;
 use crate::config::Route;
-use crate::fingerprint::Fingerprint;
 use crate::host::Hosts;
 use crate::ledger::Ledger;
 use crate::ledger::Purpose;
 use crate::limit;
 use crate::loss::Loss;
 use crate::quantile;
-use crate::quarantine;
-use crate::quarantine::Admission;
-use crate::quarantine::End;
-use crate::quarantine::Verdict;
 use crate::replica::Load;
 use crate::replica::Number;
 use crate::replica::Sign;
+use crate::server::Entry;
 use crate::server::Server;
 use crate::share::Share;
 use crate::switch::Mechanism;
 use crate::switch::Switches;
 use crate::view::View;
+use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use lentillift_fleet::quarantine;
+use lentillift_fleet::quarantine::Admission;
+use lentillift_fleet::quarantine::End;
+use lentillift_fleet::quarantine::Verdict;
 use lentillift_fleet::rendezvous;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -397,7 +398,8 @@
         now: Time,
     ) {
         if let Some(known) = self.remembers(fingerprint) {
-            let process = quarantine::process(&server.entry);
+            let Entry { id, born, .. } = &server.entry;
+            let process = quarantine::process(id, *born);
             let end = End { process, canary };
             let options = &self.options.quarantine;
             self.quarantine.ended(options, known, end, now);
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -12,7 +12,7 @@
 //!   domain that has them. It merges, so that one small reply crosses in place of twenty.
 //! - A request that nobody can serve is refused at once.
 //! - A request under which servers end, with no reply of any, goes to one server at a time, see
-//!   [`crate::quarantine`].
+//!   [`lentillift_fleet::quarantine`].
 
 mod again;
 mod doubt;
@@ -25,10 +25,10 @@
 use crate::outcome::Next;
 use crate::outcome::Send;
 use crate::plan::Plan;
-use crate::quarantine::Admission;
 use crate::replica::Number;
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use lentillift_fleet::quarantine::Admission;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/lentillift-scatter/src/query/doubt.rs
+++ b/crates/lentillift-scatter/src/query/doubt.rs
@@ -9,10 +9,10 @@
 use crate::core::Core;
 use crate::outcome::Next;
 use crate::outcome::Send;
-use crate::quarantine::Admission;
-use crate::quarantine::Verdict;
 use crate::server::Server;
 use lentillift_core::time::Time;
+use lentillift_fleet::quarantine::Admission;
+use lentillift_fleet::quarantine::Verdict;
 use std::time::Duration;
 
 /// How one more send for a leg may be made.
--- a/crates/lentillift-scatter/tests/common/mod.rs
+++ b/crates/lentillift-scatter/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::id::Service as Name;
 use lentillift_core::time::Time;
 use lentillift_scatter::budget;
@@ -16,7 +17,6 @@
 use lentillift_scatter::config::Target;
 use lentillift_scatter::core::Core;
 use lentillift_scatter::core::Options;
-use lentillift_scatter::fingerprint::Fingerprint;
 use lentillift_scatter::limit::Cold;
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::server::Entry;
