Spare popular searches, and let doubts about a request die out

Cause: servers that one search ends break the others that they have at that time, and their canaries went where its own canary went: both lost the same leg first, and its other replica was asked for both.

Now: - A canary is sent once nothing else of the request is under way: what is under way mostly is answered. Which leg it is for depends on the request. - It takes two ends under canaries, and four for a request that servers have answered in the last ten minutes. - A canary gets all the time that is left; cut short it said nothing. - The first quarantine lasts a minute in place of ten, so that a wrong one is found out soon.

Found by the same model: a doubt and its end, told with their ages, followed each other round the hosts for ever, each newer by its time on the way. A record now has a generation, which a reply raises; the later one holds, and accounts of the same one are joined.

Ruled out: that the search itself ended servers (they end under /fatal only); clocks (virtual time).

--- a/crates/lentillift-fleet/src/quarantine.rs
+++ b/crates/lentillift-fleet/src/quarantine.rs
@@ -8,9 +8,14 @@
 //! What tells such a request is that servers ended under it, and that none which ran it ever replied. Until that
 //! is decided, one server at a time finds out (a canary request): a request that was merely there
 //! when servers ended is answered by the canary and served, a few milliseconds later. A request under whose
-//! canary a server ended as well is quarantined at all hosts.
+//! canaries servers ended as well is quarantined at all hosts.
+//!
+//! Two requests that are suspect at the same time may have their canaries at the same server, and one ends it. So it
+//! takes more than one canary, and more of them for a request that servers have answered lately: a popular
+//! search is in flight whenever servers end.
 
 mod account;
+mod proven;
 mod record;
 
 pub use account::Account;
@@ -19,6 +24,7 @@
 use crate::rendezvous;
 use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::time::Time;
+use proven::Proven;
 use record::Record;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -36,12 +42,16 @@
 pub struct Options {
     /// Servers that have to end under a request, with no reply of any, before it is quarantined.
     pub ends: usize,
+    /// How many of them have to end under canaries.
+    pub canary_ends: usize,
+    /// The same for a request that servers have answered within `memory`.
+    pub proven_canary_ends: usize,
     /// Time after which an end that led to nothing is forgotten.
     pub memory: Duration,
     /// Time until a canary finds out whether servers bear the request by now; doubled after each.
     pub hold: Duration,
-    /// Canaries that are sent for a quarantined request; after the last it is held until it is lifted.
-    pub canaries: u32,
+    /// Such canaries; after the last the request is held until an operator lifts that.
+    pub trials: u32,
     /// Requests that are remembered.
     pub records: usize,
 }
@@ -50,9 +60,11 @@
     fn default() -> Self {
         Self {
             ends: 3,
+            canary_ends: 2,
+            proven_canary_ends: 4,
             memory: Duration::from_secs(600),
-            hold: Duration::from_secs(600),
-            canaries: 2,
+            hold: Duration::from_secs(60),
+            trials: 2,
             records: 1024,
         }
     }
@@ -97,6 +109,8 @@
 pub struct Table {
     // INVARIANT: No more than `Options::records`.
     records: HashMap<Fingerprint, Record>,
+    /// Requests that servers have answered lately.
+    proven: Proven,
     /// Whether some record has changed since others were told.
     has_news: bool,
 }
@@ -132,12 +146,22 @@
     /// Notes a server that ended while it had the request, with no reply of another to it.
     pub fn ended(&mut self, options: &Options, fingerprint: Fingerprint, end: End, now: Time) {
         self.make_room(options, fingerprint, now);
+        let canary_ends = self.canary_ends(options, fingerprint, now);
         let record = self.records.entry(fingerprint).or_default();
-        self.has_news |= record.ended(options, end, now);
+        self.has_news |= record.ended(options, canary_ends, end, now);
+    }
+
+    /// Servers that have to end under canaries of a request.
+    fn canary_ends(&self, options: &Options, fingerprint: Fingerprint, now: Time) -> usize {
+        match self.proven.has(fingerprint, now, options.memory) {
+            true => options.proven_canary_ends,
+            false => options.canary_ends,
+        }
     }
 
     /// Notes that a server ran the request and replied.
-    pub fn answered(&mut self, fingerprint: Fingerprint, now: Time) {
+    pub fn answered(&mut self, options: &Options, fingerprint: Fingerprint, now: Time) {
+        self.proven.note(fingerprint, now, options.records);
         if let Some(record) = self.records.get_mut(&fingerprint) {
             record.clear(now);
             self.has_news |= record.is_news();
@@ -159,8 +183,9 @@
         let mut new = 0;
         for account in accounts {
             self.make_room(options, account.fingerprint, now);
+            let canary_ends = self.canary_ends(options, account.fingerprint, now);
             let record = self.records.entry(account.fingerprint).or_default();
-            new += usize::from(record.hear(options, account, now));
+            new += usize::from(record.hear(options, canary_ends, account, now));
         }
         self.has_news |= new > 0;
         new
--- a/crates/lentillift-fleet/src/quarantine/account.rs
+++ b/crates/lentillift-fleet/src/quarantine/account.rs
@@ -14,7 +14,7 @@
         /// Time until a canary may be sent; none once all have been.
         left: Option<Duration>,
         /// Canaries that were sent since it was quarantined.
-        canaries: u32,
+        trials: u32,
     },
     /// A server ran it and replied, or an operator lifted the quarantine.
     Cleared,
@@ -25,11 +25,13 @@
 pub struct Account {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// Processes that ended under it; no more than decide.
+    /// Times that it was cleared; of two accounts the later generation holds.
+    pub generation: u32,
+    /// Processes that ended under it in this generation; no more than decide.
     pub ends: Vec<Process>,
-    /// Whether a canary was among them.
-    pub canary: bool,
-    /// Time since the last end, or since it was cleared.
+    /// Those that ended under a canary; no more than decide.
+    pub canary_ends: Vec<Process>,
+    /// Time since something last changed where it comes from.
     pub age: Duration,
     /// What follows.
     pub state: State,
--- a/crates/lentillift-fleet/src/quarantine/record.rs
+++ b/crates/lentillift-fleet/src/quarantine/record.rs
@@ -1,4 +1,9 @@
 //! What is held of one request.
+//!
+//! Hosts' clocks differ and messages take time, so what is newer is not told by times. A record has a generation,
+//! which rises with each reply of a server; of two accounts the one of the later generation holds, and
+//! two of the same generation are joined. Told by ages, a doubt and its end followed each other round the fleet
+//! for ever, each a little newer by the time that it took on its way.
 
 use super::Account;
 use super::End;
@@ -11,41 +16,44 @@
 use lentillift_core::time::Time;
 use std::time::Duration;
 
-/// How far it is decided what a request does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+/// Whether it is decided what a request does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 enum Stage {
-    Cleared,
     #[default]
-    Suspect,
+    Open,
     Quarantined {
         /// When a canary may be sent; none once all have been.
         until: Option<Time>,
         /// Canaries that were sent since.
-        canaries: u32,
+        trials: u32,
     },
 }
 
 /// What is held of one request.
 #[derive(Debug, Default)]
 pub(super) struct Record {
+    /// Times that it was cleared.
+    generation: u32,
+    /// Processes that ended under it in this generation.
     // INVARIANT: All differ.
     ends: Vec<Process>,
-    canary: bool,
-    /// When a server last ended under it, or when it was cleared.
+    /// Those under canaries.
+    // INVARIANT: All differ.
+    canary_ends: Vec<Process>,
+    /// When something last changed.
     latest: Time,
     stage: Stage,
     /// Whether others should be told.
     is_news: bool,
-    /// Whether others were told.
+    /// Whether others know of this generation.
     is_told: bool,
 }
 
 impl Record {
     pub(super) fn verdict(&self, now: Time) -> Verdict {
         match self.stage {
-            Stage::Cleared => Verdict::Clear,
-            Stage::Suspect if self.ends.is_empty() => Verdict::Clear,
-            Stage::Suspect => Verdict::Suspect,
+            Stage::Open if self.ends.is_empty() => Verdict::Clear,
+            Stage::Open => Verdict::Suspect,
             Stage::Quarantined { until, .. } => Verdict::Quarantined(left(until, now)),
         }
     }
@@ -54,7 +62,7 @@
     pub(super) fn renew(&mut self, options: &Options, now: Time) -> bool {
         let Stage::Quarantined {
             until: Some(until),
-            canaries,
+            trials,
         } = self.stage
         else {
             return false;
@@ -62,119 +70,116 @@
         if now < until {
             return false;
         }
-        let canaries = canaries + 1;
-        let is_last = canaries >= options.canaries;
-        let hold = options.hold * 2_u32.saturating_pow(canaries);
+        let trials = trials + 1;
+        let is_last = trials >= options.trials;
+        let hold = options.hold * 2_u32.saturating_pow(trials);
         self.stage = Stage::Quarantined {
             until: (!is_last).then_some(now + hold),
-            canaries,
+            trials,
         };
         self.is_news = true;
         true
     }
 
     /// Notes a server that ended; says whether others should be told.
-    pub(super) fn ended(&mut self, options: &Options, end: End, now: Time) -> bool {
-        if self.stage == Stage::Cleared {
-            *self = Self::default();
+    pub(super) fn ended(
+        &mut self,
+        options: &Options,
+        canary_ends: usize,
+        end: End,
+        now: Time,
+    ) -> bool {
+        let mut is_new = add(&mut self.ends, &[end.process], options.ends);
+        if end.canary {
+            let most = options.proven_canary_ends;
+            is_new |= add(&mut self.canary_ends, &[end.process], most);
+        }
+        if is_new {
+            self.latest = now;
+            self.decide(options, canary_ends, now);
         }
-        self.latest = now;
-        let is_new = self.add(options, &[end.process], end.canary);
-        self.decide(options, now);
         self.is_news |= is_new;
         is_new
     }
 
-    /// Adds processes that ended; says whether that changed anything.
-    fn add(&mut self, options: &Options, ends: &[Process], canary: bool) -> bool {
-        let known = self.ends.len();
-        for process in ends {
-            if self.ends.len() < options.ends && !self.ends.contains(process) {
-                self.ends.push(*process);
-            }
-        }
-        let is_first = canary && !self.canary;
-        self.canary |= canary;
-        self.ends.len() > known || is_first
-    }
-
-    fn decide(&mut self, options: &Options, now: Time) {
-        if self.stage == Stage::Suspect && self.ends.len() >= options.ends && self.canary {
+    fn decide(&mut self, options: &Options, canary_ends: usize, now: Time) {
+        let is_enough = self.ends.len() >= options.ends && self.canary_ends.len() >= canary_ends;
+        if self.stage == Stage::Open && is_enough {
             self.stage = Stage::Quarantined {
                 until: Some(now + options.hold),
-                canaries: 0,
+                trials: 0,
             };
         }
     }
 
     /// Notes that it is clear; says whether it was not before.
     pub(super) fn clear(&mut self, now: Time) -> bool {
-        if self.stage == Stage::Cleared {
+        if self.stage == Stage::Open && self.ends.is_empty() {
             return false;
         }
-        self.stage = Stage::Cleared;
-        self.ends.clear();
-        self.canary = false;
-        self.latest = now;
         // Nobody needs to know of a doubt that is over before it was told.
-        self.is_news = self.is_told;
+        let is_told = self.is_told;
+        self.enter(self.generation.saturating_add(1), now);
+        self.is_news = is_told;
         true
     }
 
+    /// Starts a generation without ends.
+    fn enter(&mut self, generation: u32, now: Time) {
+        *self = Self {
+            generation,
+            latest: now,
+            ..Self::default()
+        };
+    }
+
     pub(super) fn is_news(&self) -> bool {
         self.is_news
     }
 
     /// Takes in what another host holds; says whether that changed anything.
-    pub(super) fn hear(&mut self, options: &Options, account: &Account, now: Time) -> bool {
-        let at = now.saturating_sub(account.age);
-        let changed = match account.state {
-            State::Cleared => self.hear_cleared(at),
-            _ if self.stage == Stage::Cleared && at <= self.latest => false,
-            State::Suspect => self.hear_ends(options, account, at, now),
-            State::Quarantined { left, canaries } => {
-                let ends = self.hear_ends(options, account, at, now);
-                let until = left.map(|left| now + left);
-                self.hear_quarantine(until, canaries) || ends
-            }
-        };
-        self.is_news |= changed;
-        // Whoever told it knows it.
-        self.is_told = true;
-        changed
-    }
-
-    fn hear_cleared(&mut self, at: Time) -> bool {
-        let is_older = at < self.latest;
-        if self.stage == Stage::Cleared || is_older {
+    pub(super) fn hear(
+        &mut self,
+        options: &Options,
+        canary_ends: usize,
+        account: &Account,
+        now: Time,
+    ) -> bool {
+        if account.generation < self.generation {
             return false;
         }
-        let changed = !self.ends.is_empty();
-        self.stage = Stage::Cleared;
-        self.ends.clear();
-        self.canary = false;
-        self.latest = at;
-        changed
-    }
-
-    fn hear_ends(&mut self, options: &Options, account: &Account, at: Time, now: Time) -> bool {
-        if self.stage == Stage::Cleared {
-            *self = Self::default();
+        let was_clear = self.verdict(now) == Verdict::Clear;
+        let mut changed = false;
+        if account.generation > self.generation {
+            self.enter(account.generation, now);
+            changed = !was_clear;
         }
-        self.latest = self.latest.max(at);
-        let changed = self.add(options, &account.ends, account.canary);
-        self.decide(options, now);
+        let most = options.proven_canary_ends;
+        changed |= add(&mut self.ends, &account.ends, options.ends);
+        changed |= add(&mut self.canary_ends, &account.canary_ends, most);
+        if let State::Quarantined { left, trials } = account.state {
+            let until = left.map(|left| now + left);
+            changed |= self.hear_quarantine(until, trials);
+        } else {
+            self.decide(options, canary_ends, now);
+        }
+        if changed {
+            self.latest = now;
+        }
+        self.is_news |= changed;
+        // Whoever told it knows it.
+        self.is_told = true;
         changed
     }
 
     /// Takes over another host's quarantine if more canaries were sent in it, or there is none here.
-    fn hear_quarantine(&mut self, until: Option<Time>, canaries: u32) -> bool {
+    fn hear_quarantine(&mut self, until: Option<Time>, trials: u32) -> bool {
         let is_known = match self.stage {
-            Stage::Quarantined { canaries: own, .. } => own >= canaries,
-            _ => false,
+            Stage::Quarantined { trials: own, .. } => own >= trials,
+            Stage::Open => false,
         };
         if !is_known {
-            self.stage = Stage::Quarantined { until, canaries };
+            self.stage = Stage::Quarantined { until, trials };
         }
         !is_known
     }
@@ -188,17 +193,18 @@
 
     pub(super) fn account(&self, fingerprint: Fingerprint, now: Time) -> Account {
         let state = match self.stage {
-            Stage::Cleared => State::Cleared,
-            Stage::Suspect => State::Suspect,
-            Stage::Quarantined { until, canaries } => State::Quarantined {
+            Stage::Open if self.ends.is_empty() => State::Cleared,
+            Stage::Open => State::Suspect,
+            Stage::Quarantined { until, trials } => State::Quarantined {
                 left: until.map(|until| until.saturating_sub(now)),
-                canaries,
+                trials,
             },
         };
         Account {
             fingerprint,
+            generation: self.generation,
             ends: self.ends.clone(),
-            canary: self.canary,
+            canary_ends: self.canary_ends.clone(),
             age: now.saturating_sub(self.latest),
             state,
         }
@@ -206,15 +212,14 @@
 
     /// Whether it can be forgotten.
     pub(super) fn is_over(&self, options: &Options, now: Time) -> bool {
-        let is_quarantined = matches!(self.stage, Stage::Quarantined { .. });
-        !is_quarantined && now >= self.latest + options.memory
+        self.stage == Stage::Open && now >= self.latest + options.memory
     }
 
     /// Orders records by what would be lost with them.
     pub(super) fn worth(&self) -> (u8, Time) {
         let rank = match self.stage {
-            Stage::Cleared => 0,
-            Stage::Suspect => 1,
+            Stage::Open if self.ends.is_empty() => 0,
+            Stage::Open => 1,
             Stage::Quarantined { .. } => 2,
         };
         (rank, self.latest)
@@ -224,3 +229,14 @@
 fn left(until: Option<Time>, now: Time) -> Duration {
     until.map_or(FOREVER, |until| until.saturating_sub(now))
 }
+
+/// Adds processes that are not among `known`, up to `most`; says whether there were any.
+fn add(known: &mut Vec<Process>, processes: &[Process], most: usize) -> bool {
+    let before = known.len();
+    for process in processes {
+        if known.len() < most && !known.contains(process) {
+            known.push(*process);
+        }
+    }
+    known.len() > before
+}
--- a/crates/lentillift-gateway/src/quarantine/wire.rs
+++ b/crates/lentillift-gateway/src/quarantine/wire.rs
@@ -17,11 +17,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct Account {
     pub(crate) fingerprint: [u8; 16],
-    /// Processes that ended under it.
+    /// Times that it was cleared.
+    pub(crate) generation: u32,
+    /// Processes that ended under it in this generation.
     pub(crate) ends: Vec<u64>,
-    /// Whether a canary was among them.
-    pub(crate) canary: bool,
-    /// Time since the last end, or since it was cleared.
+    /// Those that ended under a canary.
+    pub(crate) canary_ends: Vec<u64>,
+    /// Time since something last changed where it comes from.
     pub(crate) age_ms: u64,
     pub(crate) stage: Stage,
 }
@@ -33,7 +35,7 @@
     Quarantined {
         /// Time until a canary may be sent; none once all have been.
         left_ms: Option<u64>,
-        canaries: u32,
+        trials: u32,
     },
     Cleared,
 }
@@ -54,8 +56,9 @@
     fn from(account: &quarantine::Account) -> Self {
         Self {
             fingerprint: account.fingerprint.0,
+            generation: account.generation,
             ends: account.ends.clone(),
-            canary: account.canary,
+            canary_ends: account.canary_ends.clone(),
             age_ms: millis(account.age),
             stage: account.state.into(),
         }
@@ -66,8 +69,9 @@
     fn from(account: &Account) -> Self {
         Self {
             fingerprint: Fingerprint(account.fingerprint),
+            generation: account.generation,
             ends: account.ends.clone(),
-            canary: account.canary,
+            canary_ends: account.canary_ends.clone(),
             age: Duration::from_millis(account.age_ms),
             state: account.stage.into(),
         }
@@ -78,9 +82,9 @@
     fn from(state: State) -> Self {
         match state {
             State::Suspect => Self::Suspect,
-            State::Quarantined { left, canaries } => Self::Quarantined {
+            State::Quarantined { left, trials } => Self::Quarantined {
                 left_ms: left.map(millis),
-                canaries,
+                trials,
             },
             State::Cleared => Self::Cleared,
         }
@@ -91,9 +95,9 @@
     fn from(stage: Stage) -> Self {
         match stage {
             Stage::Suspect => Self::Suspect,
-            Stage::Quarantined { left_ms, canaries } => Self::Quarantined {
+            Stage::Quarantined { left_ms, trials } => Self::Quarantined {
                 left: left_ms.map(Duration::from_millis),
-                canaries,
+                trials,
             },
             Stage::Cleared => Self::Cleared,
         }
--- a/crates/lentillift-scatter/src/core.rs
+++ b/crates/lentillift-scatter/src/core.rs
@@ -422,8 +422,9 @@
 
     /// Notes that a server ran the request and replied.
     pub fn server_answered(&mut self, fingerprint: Option<Fingerprint>, now: Time) {
-        if let Some(known) = fingerprint {
-            self.quarantine.answered(known, now);
+        if let Some(known) = self.remembers(fingerprint) {
+            self.quarantine
+                .answered(&self.options.quarantine, known, now);
         }
     }
 
--- a/crates/lentillift-scatter/src/outcome.rs
+++ b/crates/lentillift-scatter/src/outcome.rs
@@ -23,6 +23,8 @@
     pub repeat: bool,
     /// Whether it finds out by itself what its request does to a server.
     pub canary: bool,
+    /// Whether a server has answered the request, whatever else is held of it.
+    pub proven: bool,
 }
 
 /// How a send ended.
--- a/crates/lentillift-scatter/src/query/again.rs
+++ b/crates/lentillift-scatter/src/query/again.rs
@@ -32,7 +32,7 @@
 
 /// Whether backend servers that turned a leg away may be asked again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Turned {
+pub(super) enum Turned {
     /// It has just happened: they would do it again.
     Leave,
     /// Some time has passed.
@@ -68,15 +68,16 @@
         if is_late && self.exhausts_hedges(core, now) {
             return self.look_later(core, leg, now);
         }
-        let way = self.way(core, leg, now);
+        let way = self.way(core, now);
+        self.legs[leg].held = way == Way::Wait;
         if matches!(way, Way::Wait | Way::Never) {
-            self.legs[leg].held = way == Way::Wait;
             self.legs[leg].hedge_at = None;
             return Vec::new();
         }
-        let once = self.plan.route.kind == Kind::Once;
-        let limit = if once { 1 } else { self.plan.attempts as usize };
-        if self.legs[leg].attempts() >= limit {
+        if way == Way::Canary {
+            return self.again_as_canary(core, leg, now);
+        }
+        if self.legs[leg].attempts() >= self.attempt_limit() {
             self.legs[leg].hedge_at = None;
             return Vec::new();
         }
@@ -96,13 +97,34 @@
             self.unpaid += 1;
             return self.look_later(core, leg, now);
         }
-        let mut sends = vec![self.direct(core, leg, choice.server, now, repeat)];
-        if way == Way::Canary {
-            self.mark_canary(leg, &mut sends);
+        vec![self.direct(core, leg, choice.server, now, repeat)]
+    }
+
+    /// Sends a canary, for this leg or another one; looks again later if no replica is left for now.
+    fn again_as_canary(&mut self, core: &mut Core, leg: usize, now: Time) -> Vec<Send> {
+        if !self.has_attempts() {
+            self.give_up_legs();
+            return Vec::new();
+        }
+        let sends = self.next_canary(core, now);
+        if sends.is_empty() {
+            return self.look_later(core, leg, now);
+        }
+        if self.legs[leg].tries.is_empty() {
+            self.legs[leg].held = true;
+            self.legs[leg].hedge_at = None;
         }
         sends
     }
 
+    /// Backend servers that each leg may be sent to.
+    pub(super) fn attempt_limit(&self) -> usize {
+        match self.plan.route.kind {
+            Kind::Once => 1,
+            Kind::Idempotent => self.plan.attempts as usize,
+        }
+    }
+
     /// What one more send for a leg is for: whether the caller would accept the answer without it and
     /// without the others that are in the same state.
     fn purpose(&self, leg: usize) -> Purpose {
@@ -123,7 +145,13 @@
     }
 
     /// A replica that was not asked for this leg, and whose reply would come in time.
-    fn other(&self, core: &mut Core, leg: usize, now: Time, turned: Turned) -> Option<Choice> {
+    pub(super) fn other(
+        &self,
+        core: &mut Core,
+        leg: usize,
+        now: Time,
+        turned: Turned,
+    ) -> Option<Choice> {
         let typical = core.pace(&self.plan.route).typical;
         let state = &self.legs[leg];
         let view = &self.plan.view;
--- a/crates/lentillift-scatter/src/query/doubt.rs
+++ b/crates/lentillift-scatter/src/query/doubt.rs
@@ -5,8 +5,10 @@
 //! legs wait for it.
 
 use super::Query;
+use super::again::Turned;
 use crate::core::Choice;
 use crate::core::Core;
+use crate::ledger::Purpose;
 use crate::outcome::Next;
 use crate::outcome::Send;
 use crate::server::Server;
@@ -51,33 +53,89 @@
     pub(super) fn first_canary(
         &mut self,
         core: &mut Core,
-        choices: Vec<Option<Choice>>,
+        mut choices: Vec<Option<Choice>>,
         now: Time,
     ) -> Vec<Send> {
-        let mut sends = Vec::new();
-        for (leg, choice) in choices.into_iter().enumerate() {
-            match choice {
-                Some(choice) if sends.is_empty() => {
-                    sends.push(self.direct(core, leg, choice.server, now, false));
-                    self.mark_canary(leg, &mut sends);
-                }
-                Some(_) => self.legs[leg].held = true,
-                None => {}
-            }
+        for (leg, choice) in self.legs.iter_mut().zip(&choices) {
+            leg.held = choice.is_some();
         }
-        sends
+        let mut order = self.canary_order();
+        let chosen = order.find_map(|leg| Some((leg, choices[leg].take()?)));
+        let send = chosen.map(|(leg, choice)| self.canary(core, leg, choice, now, false));
+        send.into_iter().collect()
+    }
+
+    /// Legs in the order in which a canary is sent for one of them.
+    ///
+    /// Another for each request: several that are suspect at once, because servers ended under all of them, would
+    /// otherwise ask the same server, and the one that ends it would be held for all.
+    fn canary_order(&self) -> impl Iterator<Item = usize> + use<> {
+        let count = self.legs.len();
+        let fingerprint = self.plan.fingerprint.map_or([0; 16], |known| known.0);
+        let (first, _) = fingerprint.split_first_chunk().unwrap_or((&[0; 8], &[]));
+        let start = u64::from_le_bytes(*first) % (count as u64).max(1);
+        (0..count).map(move |step| (start as usize + step) % count)
     }
 
-    /// Marks the last send of a leg as a canary.
-    pub(super) fn mark_canary(&mut self, leg: usize, sends: &mut [Send]) {
-        if let (Some(last), Some(send)) = (self.legs[leg].tries.last_mut(), sends.last_mut()) {
+    fn canary(
+        &mut self,
+        core: &mut Core,
+        leg: usize,
+        choice: Choice,
+        now: Time,
+        repeat: bool,
+    ) -> Send {
+        self.legs[leg].held = false;
+        let mut send = self.direct(core, leg, choice.server, now, repeat);
+        send.canary = true;
+        // Cut short it would say nothing of a server that ends a little later.
+        send.left = self.plan.deadline.saturating_sub(now);
+        if let Some(last) = self.legs[leg].tries.last_mut() {
             last.canary = true;
-            send.canary = true;
         }
+        send
+    }
+
+    /// Whether some leg may still be sent for.
+    pub(super) fn has_attempts(&self) -> bool {
+        let limit = self.attempt_limit();
+        let mut legs = self.legs.iter();
+        legs.any(|leg| leg.done.is_none() && leg.attempts() < limit)
+    }
+
+    /// Gives up all legs for which nothing is under way.
+    pub(super) fn give_up_legs(&mut self) {
+        for leg in &mut self.legs {
+            leg.held = false;
+            leg.hedge_at = None;
+        }
+    }
+
+    /// Sends a canary for the first leg that has a replica left; all others wait.
+    pub(super) fn next_canary(&mut self, core: &mut Core, now: Time) -> Vec<Send> {
+        let limit = self.attempt_limit();
+        for leg in self.canary_order() {
+            let state = &self.legs[leg];
+            let is_open = state.done.is_none() && state.attempts() < limit;
+            if !is_open {
+                continue;
+            }
+            let Some(choice) = self.other(core, leg, now, Turned::Ask) else {
+                continue;
+            };
+            let repeat = self.legs[leg].arrivals > 0;
+            let service = self.legs[leg].service.clone();
+            if repeat && !core.spend(&service, now, Purpose::Answer) {
+                self.unpaid += 1;
+                continue;
+            }
+            return vec![self.canary(core, leg, choice, now, repeat)];
+        }
+        Vec::new()
     }
 
     /// How one more send for a leg may be made.
-    pub(super) fn way(&mut self, core: &Core, leg: usize, now: Time) -> Way {
+    pub(super) fn way(&mut self, core: &Core, now: Time) -> Way {
         if self.is_heard() {
             return Way::Plain;
         }
@@ -88,9 +146,9 @@
                 Way::Never
             }
             _ => {
-                let mut tries = self.legs.iter().flat_map(|leg| &leg.tries);
-                let is_out = tries.any(|sent| sent.canary);
-                match is_out || !self.legs[leg].tries.is_empty() {
+                // What is under way may be answered, and then no canary is needed.
+                let is_out = self.legs.iter().any(|leg| !leg.tries.is_empty());
+                match is_out {
                     true => Way::Wait,
                     false => Way::Canary,
                 }
@@ -99,7 +157,7 @@
     }
 
     /// Whether a server has replied.
-    fn is_heard(&self) -> bool {
+    pub(super) fn is_heard(&self) -> bool {
         self.legs.iter().any(|leg| leg.done.is_some())
     }
 
--- a/crates/lentillift-scatter/src/query/first.rs
+++ b/crates/lentillift-scatter/src/query/first.rs
@@ -190,6 +190,7 @@
             first: Duration::ZERO,
             repeat,
             canary: false,
+            proven: self.is_heard(),
         }
     }
 
@@ -240,6 +241,7 @@
             first: patience,
             repeat: false,
             canary: false,
+            proven: self.is_heard(),
         }
     }
 
