Quarantine searches that end backend servers at the older interface too

The entry remembers such searches as the gateway does, sends one sub-request at a time while a search is suspect, and refuses what is quarantined (503, quarantined). A sub-request whose server ended is told from a lost reply by the backend client, for searches only: an action is not sent again anyway, and its connections stay as few as they were.

--- a/crates/lentillift-backend/src/client.rs
+++ b/crates/lentillift-backend/src/client.rs
@@ -9,7 +9,9 @@
 use lentillift_core::sub::Report;
 use lentillift_core::sub::Sub;
 use lentillift_core::sub::Work;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 use ureq::Agent;
@@ -19,6 +21,9 @@
 /// Time after which a cancellation that was not taken is given up.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Longest time to find out whether anybody listens at an address; the result waits for it.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Bytes that a connection's buffer holds, each way.
 ///
 /// A request has under a kilobyte and most replies a few. The library's default of 128 KB each way
@@ -100,15 +105,28 @@
         };
         let request = request.config().timeout_global(Some(left)).build();
         let (sent, written) = connect::watch(|| request.send(&*sub.body));
-        match sent {
+        let (result, report) = match sent {
             Ok(mut response) => {
                 let report = report(&response);
                 (result(&mut response, &sub.work, &report), report)
             }
             Err(error) => (failed(&error, written), Report::default()),
+        };
+        // An action is not sent again, whatever became of its server.
+        let is_search = matches!(sub.work, Work::Search { .. });
+        let is_lost = result == sub::Result::unknown(Failure::Connection);
+        match is_search && is_lost && self.is_refused() {
+            true => (sub::Result::unknown(Failure::Ended), report),
+            false => (result, report),
         }
     }
 
+    /// Whether nobody listens at the address, as after the backend server's process ended.
+    fn is_refused(&self) -> bool {
+        let opened = TcpStream::connect_timeout(&self.address, LOOK_TIMEOUT);
+        opened.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Tells the backend server that a request's reply is of no more use.
     pub fn cancel(&self, ticket: u64) {
         let request = self
--- a/crates/lentillift-caller/src/render.rs
+++ b/crates/lentillift-caller/src/render.rs
@@ -134,9 +134,11 @@
         Cause::Overload => StatusCode::TOO_MANY_REQUESTS,
         Cause::Closed => StatusCode::GONE,
         Cause::Mismatch => StatusCode::UNPROCESSABLE_ENTITY,
-        Cause::Stale | Cause::Leaving | Cause::NoSnapshot | Cause::Coverage => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        Cause::Stale
+        | Cause::Leaving
+        | Cause::NoSnapshot
+        | Cause::Coverage
+        | Cause::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/lentillift-core/src/refusal.rs
+++ b/crates/lentillift-core/src/refusal.rs
@@ -27,6 +27,8 @@
     NoSnapshot,
     /// The coverage reached is below what the caller accepts.
     Coverage,
+    /// Backend servers end under requests with this content.
+    Quarantined,
     /// The id is closed: the request never ran under it and never will.
     Closed,
     /// The id was used for another request.
--- a/crates/lentillift-entry/src/core.rs
+++ b/crates/lentillift-entry/src/core.rs
@@ -1,5 +1,6 @@
 //! All queries that this process has taken from callers.
 
+mod doubt;
 mod restart;
 mod send;
 mod settle;
@@ -19,6 +20,8 @@
 use lentillift_core::sub::Load;
 use lentillift_core::sub::Sub;
 use lentillift_core::time::Time;
+use lentillift_fleet::quarantine;
+use lentillift_fleet::quarantine::Admission as Entrance;
 use lentillift_fleet::view::View;
 use lentillift_policy::admission;
 use lentillift_policy::admission::Admission;
@@ -144,6 +147,8 @@
     deadlines: BTreeSet<(Time, id::Request)>,
     loads: Loads,
     gone: Gone,
+    /// Requests under which backend servers ended.
+    quarantine: quarantine::Table,
     // INVARIANT: Holds configured services only.
     paces: HashMap<id::Service, Pace>,
     next_sub: id::Sub,
@@ -172,6 +177,7 @@
             deadlines: BTreeSet::new(),
             loads: Loads::default(),
             gone: Gone::default(),
+            quarantine: quarantine::Table::default(),
             paces: HashMap::new(),
             next_sub,
             counts: Counts::default(),
@@ -256,6 +262,12 @@
             self.enter(request, run, ask, query.deadline, query.rank);
             return Vec::new();
         }
+        let entrance = self.entrance(now, &query);
+        if let Entrance::Refuse(left) = entrance {
+            let detail = "backend servers end under requests with this content";
+            let refusal = Refusal::new(Cause::Quarantined, detail).retry_after(left);
+            return vec![Effect::Refuse { request, refusal }];
+        }
         if let Err(refusal) = self.admit(now, &query) {
             return vec![Effect::Refuse { request, refusal }];
         }
@@ -263,7 +275,10 @@
         let (deadline, rank) = (query.deadline, query.rank);
         self.queries.insert(request, query);
         self.enter(request, request, ask, deadline, rank);
-        let mut effects = self.start(now, request);
+        let mut effects = match entrance {
+            Entrance::Canary => self.start_with_canary(now, request),
+            _ => self.start(now, request),
+        };
         effects.extend(self.finish_if_settled(now, request));
         effects
     }
--- a/crates/lentillift-entry/src/core/send.rs
+++ b/crates/lentillift-entry/src/core/send.rs
@@ -2,6 +2,7 @@
 
 use super::Effect;
 use super::Entry;
+use super::doubt::Way;
 use crate::flights::Flight;
 use crate::query::State;
 use lentillift_core::id;
@@ -49,6 +50,9 @@
 
     fn hedge_one(&mut self, now: Time, slow: &Flight) -> Option<Effect> {
         let (run, position) = (slow.run, slow.position);
+        if self.way(now, run) != Way::Plain {
+            return None;
+        }
         let query = self.queries.get(&run)?;
         let State::Pending { tried } = &query.states[position] else {
             return None;
--- a/crates/lentillift-entry/src/core/settle.rs
+++ b/crates/lentillift-entry/src/core/settle.rs
@@ -2,6 +2,7 @@
 
 use super::Effect;
 use super::Entry;
+use super::doubt::Way;
 use super::key;
 use crate::flights::Flight;
 use crate::query::Query;
@@ -44,7 +45,12 @@
                 self.give_up(&flight, Reason::Failed);
                 Vec::new()
             }
-            sub::Result::Failed { failure, outcome } => self.failed(now, &flight, failure, outcome),
+            sub::Result::Failed { failure, outcome } => {
+                if failure == Failure::Ended {
+                    self.note_end(now, id, &flight);
+                }
+                self.failed(now, &flight, failure, outcome)
+            }
         };
         effects.extend(self.finish_if_settled(now, flight.run));
         effects
@@ -67,7 +73,9 @@
         if flight.hedge {
             self.counts.add("lentillift_hedges_won_total");
         }
-        cancel(rivals)
+        let mut effects = cancel(rivals);
+        effects.extend(self.clear(now, flight.run));
+        effects
     }
 
     /// Takes in a failure: another replica is asked, or has been, or the shard is given up.
@@ -103,6 +111,27 @@
         if self.flights.has_shard(flight.run, flight.position) {
             return Vec::new();
         }
+        match self.way(now, flight.run) {
+            Way::Plain => {}
+            Way::Wait => {
+                self.hold(flight);
+                return Vec::new();
+            }
+            Way::Canary => {
+                self.hold(flight);
+                return self.next_canary(now, flight.run);
+            }
+            Way::Never => {
+                self.give_up_held(flight.run);
+                self.give_up(flight, reason(failure));
+                return Vec::new();
+            }
+        }
+        let Some(query) = self.queries.get(&flight.run) else {
+            return Vec::new();
+        };
+        let deadline = query.deadline;
+        let pace = self.paces.entry(query.ask.service.clone()).or_default();
         let failed = retry::Failed {
             failure,
             outcome,
@@ -110,7 +139,7 @@
             tries: tried.len() as u32,
         };
         let again = match pace.retry.next(&self.policy.retry, &failed) {
-            retry::Next::Retry if now < query.deadline => {
+            retry::Next::Retry if now < deadline => {
                 self.try_replica(now, flight.run, flight.position, tried, true)
             }
             retry::Next::Spent | retry::Next::Refusing => {
@@ -130,6 +159,13 @@
         }
     }
 
+    /// Has a shard wait until it is known what its query does to servers.
+    fn hold(&mut self, flight: &Flight) {
+        if let Some(query) = self.queries.get_mut(&flight.run) {
+            query.held.push(flight.position);
+        }
+    }
+
     fn give_up(&mut self, flight: &Flight, reason: Reason) {
         if let Some(query) = self.queries.get_mut(&flight.run) {
             query.give_up(flight.position, reason);
--- a/crates/lentillift-entry/src/flights.rs
+++ b/crates/lentillift-entry/src/flights.rs
@@ -46,6 +46,13 @@
         self.flights.insert(id, flight);
     }
 
+    /// Whether any sub-request of a run is under way.
+    pub fn has_run(&self, run: id::Request) -> bool {
+        let first = (run, 0, id::Sub::MIN);
+        let mut shards = self.by_shard.range(first..);
+        shards.next().is_some_and(|(other, ..)| *other == run)
+    }
+
     /// Takes out a sub-request.
     pub fn remove(&mut self, id: id::Sub) -> Option<Flight> {
         let flight = self.flights.remove(&id)?;
--- a/crates/lentillift-entry/src/query.rs
+++ b/crates/lentillift-entry/src/query.rs
@@ -5,6 +5,7 @@
 use lentillift_core::coverage::Coverage;
 use lentillift_core::coverage::Missing;
 use lentillift_core::coverage::Reason;
+use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::hit;
 use lentillift_core::hit::Hit;
 use lentillift_core::id;
@@ -49,12 +50,24 @@
     pub reached: bool,
     /// When the last caller's answer is put together, complete or not.
     pub deadline: Time,
+    /// What it has in common with other attempts of the same query.
+    pub fingerprint: Fingerprint,
+    /// Shards that wait until it is known what the query does to servers, by position.
+    pub held: Vec<usize>,
+    /// The shard that finds out.
+    pub canary: Option<usize>,
+    /// Whether it was let in to find out, though it is suspect or quarantined.
+    pub trial: bool,
 }
 
 impl Query {
     /// Starts a query of which no shard has been asked.
     pub fn new(ask: Ask, map: Map, now: Time, deadline: Time) -> Self {
         Self {
+            fingerprint: Fingerprint::of("POST", &ask.service, "/v1/search", &ask.body),
+            held: Vec::new(),
+            canary: None,
+            trial: false,
             ask,
             rank: u8::MAX,
             members: BTreeSet::new(),
@@ -71,6 +84,8 @@
     pub fn restart(&mut self, map: Map) {
         self.reached |= self.ran();
         self.restarted = true;
+        self.held.clear();
+        self.canary = None;
         self.states = blank(&map);
         self.map = map;
     }
@@ -81,7 +96,7 @@
     }
 
     /// Whether a backend server has run a part of it at the present snapshot.
-    fn ran(&self) -> bool {
+    pub fn ran(&self) -> bool {
         let mut states = self.states.iter();
         states.any(|state| matches!(state, State::Answered(_)))
     }
--- a/crates/lentillift-entry/tests/snapshot.rs
+++ b/crates/lentillift-entry/tests/snapshot.rs
@@ -281,6 +281,7 @@
         1 => Just(Failure::Connection),
         1 => Just(Failure::Timeout),
         1 => Just(Failure::Malformed),
+        1 => Just(Failure::Ended),
     ]
 }
 
--- a/crates/lentillift-node/src/once.rs
+++ b/crates/lentillift-node/src/once.rs
@@ -72,6 +72,7 @@
         Coverage,
         Closed,
         Mismatch,
+        Quarantined,
     }
 }
 
--- a/crates/lentillift-settings/src/policy.rs
+++ b/crates/lentillift-settings/src/policy.rs
@@ -34,6 +34,8 @@
     pub hedge: Hedge,
     /// When a failed sub-request is sent again.
     pub retry: Retry,
+    /// What is done about requests that end backend servers.
+    pub quarantine: Quarantine,
     /// When an answer is given although shards are missing.
     pub partial: Partial,
     /// When a backend server gets nothing.
@@ -51,6 +53,7 @@
         self.choice.on = false;
         self.hedge.on = false;
         self.retry.on = false;
+        self.quarantine.on = false;
         self.health.on = false;
     }
 }
@@ -246,6 +249,20 @@
     }
 }
 
+/// Figures of the quarantine of requests that end backend servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Quarantine {
+    /// Whether it is on.
+    pub on: bool,
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        Self { on: true }
+    }
+}
+
 /// Figures of partial answers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/lentilliftd/src/report.rs
+++ b/crates/lentilliftd/src/report.rs
@@ -120,6 +120,7 @@
         Cause::Leaving => "leaving",
         Cause::NoSnapshot => "no-snapshot",
         Cause::Coverage => "coverage",
+        Cause::Quarantined => "quarantined",
         Cause::Closed => "closed",
         Cause::Mismatch => "mismatch",
     }
