--- a/crates/lentillift-entry/src/core.rs
+++ b/crates/lentillift-entry/src/core.rs
@@ -21,7 +21,7 @@
 use lentillift_core::sub::Sub;
 use lentillift_core::time::Time;
 use lentillift_fleet::quarantine;
-use lentillift_fleet::quarantine::Admission as Entrance;
+use lentillift_fleet::quarantine::Admission as Treatment;
 use lentillift_fleet::view::View;
 use lentillift_policy::admission;
 use lentillift_policy::admission::Admission;
@@ -262,8 +262,8 @@
             self.enter(request, run, ask, query.deadline, query.rank);
             return Vec::new();
         }
-        let entrance = self.entrance(now, &query);
-        if let Entrance::Refuse(left) = entrance {
+        let treatment = self.treat(now, &query);
+        if let Treatment::Refuse(left) = treatment {
             let detail = "backend servers end under requests with this content";
             let refusal = Refusal::new(Cause::Quarantined, detail).retry_after(left);
             return vec![Effect::Refuse { request, refusal }];
@@ -275,8 +275,8 @@
         let (deadline, rank) = (query.deadline, query.rank);
         self.queries.insert(request, query);
         self.enter(request, request, ask, deadline, rank);
-        let mut effects = match entrance {
-            Entrance::Canary => self.start_with_canary(now, request),
+        let mut effects = match treatment {
+            Treatment::Canary => self.start_with_canary(now, request),
             _ => self.start(now, request),
         };
         effects.extend(self.finish_if_settled(now, request));
--- a/crates/lentillift-entry/src/core/doubt.rs
+++ b/crates/lentillift-entry/src/core/doubt.rs
@@ -15,29 +15,16 @@
 use lentillift_fleet::quarantine;
 use lentillift_fleet::quarantine::Admission;
 use lentillift_fleet::quarantine::End;
+use lentillift_fleet::quarantine::Next;
 use lentillift_fleet::quarantine::Options;
-use lentillift_fleet::quarantine::Verdict;
 use rand::Rng;
 
-/// How a shard whose sub-request failed may be asked for again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Way {
-    /// As usual.
-    Plain,
-    /// As the only one, to find out what the query does to a server.
-    Canary,
-    /// Not before that is known.
-    Wait,
-    /// Not any more.
-    Never,
-}
-
 impl<R> Entry<R>
 where
     R: Rng,
 {
     /// How a query that has just arrived is treated.
-    pub(super) fn entrance(&mut self, now: Time, query: &Query) -> Admission {
+    pub(super) fn treat(&mut self, now: Time, query: &Query) -> Admission {
         if !self.policy.quarantine.on {
             return Admission::Serve;
         }
@@ -61,19 +48,15 @@
     }
 
     /// How a shard of a run may be asked for again.
-    pub(super) fn way(&self, now: Time, run: id::Request) -> Way {
+    pub(super) fn next_send(&self, now: Time, run: id::Request) -> Next {
         let Some(query) = self.queries.get(&run) else {
-            return Way::Never;
+            return Next::GiveUp;
         };
         if !self.policy.quarantine.on || query.ran() {
-            return Way::Plain;
-        }
-        match self.quarantine.verdict(query.fingerprint, now) {
-            Verdict::Clear => Way::Plain,
-            Verdict::Quarantined(_) if !query.trial => Way::Never,
-            _ if self.flights.has_run(run) => Way::Wait,
-            _ => Way::Canary,
+            return Next::Send;
         }
+        let verdict = self.quarantine.verdict(query.fingerprint, now);
+        verdict.next(query.trial, self.flights.has_run(run))
     }
 
     /// Notes a server that ended while it had a part of a query, unless another one has replied to it.
--- a/crates/lentillift-entry/src/core/send.rs
+++ b/crates/lentillift-entry/src/core/send.rs
@@ -2,13 +2,13 @@
 
 use super::Effect;
 use super::Entry;
-use super::doubt::Way;
 use crate::flights::Flight;
 use crate::query::State;
 use lentillift_core::id;
 use lentillift_core::sub::Sub;
 use lentillift_core::sub::Work;
 use lentillift_core::time::Time;
+use lentillift_fleet::quarantine::Next;
 use lentillift_policy::choice::Candidate;
 use lentillift_policy::hedge;
 use rand::Rng;
@@ -50,7 +50,7 @@
 
     fn hedge_one(&mut self, now: Time, slow: &Flight) -> Option<Effect> {
         let (run, position) = (slow.run, slow.position);
-        if self.way(now, run) != Way::Plain {
+        if self.next_send(now, run) != Next::Send {
             return None;
         }
         let query = self.queries.get(&run)?;
--- a/crates/lentillift-entry/src/core/settle.rs
+++ b/crates/lentillift-entry/src/core/settle.rs
@@ -2,7 +2,6 @@
 
 use super::Effect;
 use super::Entry;
-use super::doubt::Way;
 use super::key;
 use crate::flights::Flight;
 use crate::query::Query;
@@ -17,6 +16,7 @@
 use lentillift_core::sub::Failure;
 use lentillift_core::sub::Load;
 use lentillift_core::time::Time;
+use lentillift_fleet::quarantine::Next;
 use lentillift_policy::admission;
 use lentillift_policy::retry;
 use rand::Rng;
@@ -111,17 +111,17 @@
         if self.flights.has_shard(flight.run, flight.position) {
             return Vec::new();
         }
-        match self.way(now, flight.run) {
-            Way::Plain => {}
-            Way::Wait => {
+        match self.next_send(now, flight.run) {
+            Next::Send => {}
+            Next::Wait => {
                 self.hold(flight);
                 return Vec::new();
             }
-            Way::Canary => {
+            Next::Canary => {
                 self.hold(flight);
                 return self.next_canary(now, flight.run);
             }
-            Way::Never => {
+            Next::GiveUp => {
                 self.give_up_held(flight.run);
                 self.give_up(flight, reason(failure));
                 return Vec::new();
--- a/crates/lentillift-fleet/src/quarantine.rs
+++ b/crates/lentillift-fleet/src/quarantine.rs
@@ -81,6 +81,34 @@
     Quarantined(Duration),
 }
 
+impl Verdict {
+    /// How the next send for the request may be made.
+    ///
+    /// `is_trial` tells whether it was let in to find out; `is_under_way`, whether something of it is under
+    /// way, which mostly is answered, so that no canary is needed.
+    pub fn next(self, is_trial: bool, is_under_way: bool) -> Next {
+        match self {
+            Self::Clear => Next::Send,
+            Self::Quarantined(_) if !is_trial => Next::GiveUp,
+            _ if is_under_way => Next::Wait,
+            _ => Next::Canary,
+        }
+    }
+}
+
+/// How the next send for a request may be made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// As usual.
+    Send,
+    /// As the only one, to find out what the request does to a server.
+    Canary,
+    /// Not before that is known.
+    Wait,
+    /// Not any more.
+    GiveUp,
+}
+
 /// How a request that has just arrived is treated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
--- a/crates/lentillift-scatter/src/query/again.rs
+++ b/crates/lentillift-scatter/src/query/again.rs
@@ -1,7 +1,6 @@
 //! Asking another replica: after a send that brought nothing, or because it takes too long.
 
 use super::Query;
-use super::doubt::Way;
 use crate::config::Kind;
 use crate::core::Choice;
 use crate::core::Core;
@@ -10,6 +9,7 @@
 use crate::outcome::Send;
 use crate::server::Server;
 use lentillift_core::time::Time;
+use lentillift_fleet::quarantine::Next;
 use std::time::Duration;
 
 /// Largest part of the shards that are hedged as stragglers.
@@ -68,14 +68,15 @@
         if is_late && self.exhausts_hedges(core, now) {
             return self.look_later(core, leg, now);
         }
-        let way = self.way(core, now);
-        self.legs[leg].held = way == Way::Wait;
-        if matches!(way, Way::Wait | Way::Never) {
-            self.legs[leg].hedge_at = None;
-            return Vec::new();
-        }
-        if way == Way::Canary {
-            return self.again_as_canary(core, leg, now);
+        let next = self.next_send(core, now);
+        self.legs[leg].held = next == Next::Wait;
+        match next {
+            Next::Send => {}
+            Next::Canary => return self.again_as_canary(core, leg, now),
+            Next::Wait | Next::GiveUp => {
+                self.legs[leg].hedge_at = None;
+                return Vec::new();
+            }
         }
         if self.legs[leg].attempts() >= self.attempt_limit() {
             self.legs[leg].hedge_at = None;
--- a/crates/lentillift-scatter/src/query/doubt.rs
+++ b/crates/lentillift-scatter/src/query/doubt.rs
@@ -13,23 +13,11 @@
 use crate::outcome::Send;
 use crate::server::Server;
 use lentillift_core::time::Time;
+use lentillift_fleet::quarantine;
 use lentillift_fleet::quarantine::Admission;
 use lentillift_fleet::quarantine::Verdict;
 use std::time::Duration;
 
-/// How one more send for a leg may be made.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Way {
-    /// As usual.
-    Plain,
-    /// As the only send, to find out.
-    Canary,
-    /// Not before it is known what the canary does.
-    Wait,
-    /// Not any more.
-    Never,
-}
-
 impl Query {
     /// How the request is treated.
     ///
@@ -134,26 +122,20 @@
         Vec::new()
     }
 
-    /// How one more send for a leg may be made.
-    pub(super) fn way(&mut self, core: &Core, now: Time) -> Way {
+    /// How one more send may be made.
+    pub(super) fn next_send(&mut self, core: &Core, now: Time) -> quarantine::Next {
         if self.is_heard() {
-            return Way::Plain;
+            return quarantine::Next::Send;
         }
-        match core.verdict(self.plan.fingerprint, now) {
-            Verdict::Clear => Way::Plain,
-            Verdict::Quarantined(left) if !self.trial => {
-                self.quarantined = Some(left);
-                Way::Never
-            }
-            _ => {
-                // What is under way may be answered, and then no canary is needed.
-                let is_out = self.legs.iter().any(|leg| !leg.tries.is_empty());
-                match is_out {
-                    true => Way::Wait,
-                    false => Way::Canary,
-                }
-            }
+        let verdict = core.verdict(self.plan.fingerprint, now);
+        let is_under_way = self.legs.iter().any(|leg| !leg.tries.is_empty());
+        let next = verdict.next(self.trial, is_under_way);
+        if next == quarantine::Next::GiveUp
+            && let Verdict::Quarantined(left) = verdict
+        {
+            self.quarantined = Some(left);
         }
+        next
     }
 
     /// Whether a server has replied.
