Log from whom a configuration came, how old it was, and when knowledge is older than its bound

What callers saw can't be told apart by the logs so far: whether a host knew a configuration late, from whom it had it, how old it took its knowledge for, or whether it did not run at all. No decision changes.

- 'config' lines name the origin, the age that the news had and the age of what was believed before;
- 'origin' lines say when a host is followed, and over which hosts its knowledge comes;
- 'age' and 'stall' lines tell when knowledge is older than the bound, and when a process did not run;
- 'branch' lines have the configuration that the asked host went by, and its age;
- two counters: origins that were lost, by kind, and times that knowledge was older than the bound.

--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -19,6 +19,7 @@
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_scatter::config::Target;
+use lentillift_scatter::config::Version;
 use lentillift_scatter::delay;
 use lentillift_scatter::delay::Stamp;
 use lentillift_scatter::leg::State;
@@ -83,6 +84,10 @@
     limit: usize,
     /// Shards that were told of.
     told: Vec<bool>,
+    /// Version of the configuration that this host goes by.
+    config: Version,
+    /// Age of what this host believed when it was asked.
+    age: Duration,
 }
 
 impl<D, S> Branch<D, S>
@@ -118,6 +123,8 @@
             first: now + Duration::from_millis(question.first_ms.into()),
             limit,
             told,
+            config: view.config.version,
+            age: host.age().unwrap_or_default(),
         })
     }
 
@@ -200,6 +207,8 @@
                 declined = answer.declined.len(),
                 failed = answer.failed.len(),
                 over,
+                config = self.config,
+                age_ms = self.age.as_millis() as u64,
                 notes = self.run.notes(),
                 "told another host"
             );
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -51,10 +51,14 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tracing::info;
+use tracing::warn;
 
 /// Time between two looks at what has expired.
 const HOUSEKEEPING: Duration = Duration::from_millis(250);
 
+/// Time beyond its sleep after which a process that did nothing says so.
+const STALL: Duration = Duration::from_millis(500);
+
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(1);
 
@@ -225,6 +229,7 @@
         away: Cell::new(None),
         news: settings.news,
         steady: Cell::new(true),
+        origin: RefCell::new(None),
         way: RefCell::new(Way::default()),
         roster: RefCell::new(Roster::default()),
         quarantine_changed: Notify::new(),
@@ -268,6 +273,8 @@
     S: Source,
 {
     let mut serving = false;
+    let mut outdated = false;
+    let mut last = host.now();
     let mut changed = host.changed.subscribe();
     loop {
         tokio::select! {
@@ -276,6 +283,9 @@
             _ = changed.changed(), if !serving => {}
         }
         let now = host.now();
+        note_stall(now.saturating_sub(last));
+        last = now;
+        outdated = note_outdated(&host, outdated);
         host.take_place();
         host.core.borrow_mut().forget(now);
         let expired = host.catalog.borrow_mut().expire(now);
@@ -314,6 +324,41 @@
     }
 }
 
+/// Logs that this process did nothing for longer than it meant to sleep, as when its host stands still or
+/// has no processor time left.
+fn note_stall(passed: Duration) {
+    let late = passed.saturating_sub(HOUSEKEEPING);
+    if late >= STALL {
+        warn!(
+            event = "stall",
+            late_ms = late.as_millis() as u64,
+            "did not run"
+        );
+    }
+}
+
+/// Logs when what is believed becomes older than the bound on news, and when it no longer is; says whether
+/// it is now.
+fn note_outdated<D, S>(host: &Host<D, S>, was_outdated: bool) -> bool
+where
+    D: Dialect,
+    S: Source,
+{
+    let Some(age) = host.age() else {
+        return false;
+    };
+    let is_outdated = age > host.news.bound;
+    let age_ms = age.as_millis() as u64;
+    let origin = host.origin.borrow();
+    if is_outdated && !was_outdated {
+        host.board.add(metric::OUTDATED, 1);
+        warn!(event = "age", age_ms, ?origin, "older than the bound");
+    } else if was_outdated && !is_outdated {
+        info!(event = "age", age_ms, ?origin, "within the bound again");
+    }
+    is_outdated
+}
+
 /// Puts changed settings in force.
 async fn watch_settings<D, S, F>(host: Rc<Host<D, S>>, mut hangup: Signal, mut reload: F)
 where
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -69,14 +69,17 @@
             tokio::time::sleep(pause).await;
             continue;
         };
+        host.origin.replace(Some(origin.clone()));
         let left = match &origin {
             Origin::Service => service::service(&host, until).await,
             Origin::Host(name) => subscribe(&host, name, until).await,
         };
+        host.origin.replace(None);
         let Left::Failed(error) = left else {
             search.left(&origin, search::Left::Again, host.now());
             continue;
         };
+        host.board.count(metric::ORIGINS_LOST, kind(&origin));
         warn!(
             event = "origin",
             ?origin,
@@ -94,6 +97,14 @@
     }
 }
 
+/// The kind of an origin, in metrics.
+fn kind(origin: &Origin) -> &'static str {
+    match origin {
+        Origin::Service => "service",
+        Origin::Host(_) => "host",
+    }
+}
+
 fn order<D, S>(host: &Host<D, S>, round: usize) -> Vec<Origin> {
     let me = Candidate {
         host: host.name.clone(),
@@ -138,6 +149,7 @@
         Err(error) => return Left::Failed(error),
     };
     let mut patience = host.news.open();
+    let mut is_heard = false;
     loop {
         if is_over(host, &origin, until) {
             return Left::Again;
@@ -153,9 +165,14 @@
         if frame.news.is_some() {
             note_size(host, name, size);
         }
+        let way = frame.way.join(" ");
         if let Err(error) = hear(host, name, frame, size.took) {
             return Left::Failed(error);
         }
+        if !std::mem::replace(&mut is_heard, true) {
+            let age_ms = host.age().map(|age| age.as_millis() as u64);
+            info!(event = "origin", ?origin, way, age_ms, "followed");
+        }
         let patient = host.age().is_none() && host.now() < began + PATIENCE;
         // That a message was long under way is not the origin's fault.
         let allowed = host.news.stale() + size.took;
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -12,6 +12,7 @@
 use lentillift_core::time::Clock;
 use lentillift_core::time::Time;
 use lentillift_fleet::follow;
+use lentillift_fleet::follow::Origin;
 use lentillift_fleet::follow::way::Way;
 use lentillift_fleet::swim::Swim;
 use lentillift_scatter::catalog::Catalog;
@@ -52,6 +53,15 @@
     content: Content,
 }
 
+/// Where news came from, for the log.
+struct Provenance {
+    origin: Option<Origin>,
+    /// How old it was.
+    age: Duration,
+    /// How old was what had been believed until then.
+    before: Option<Duration>,
+}
+
 /// What all tasks of this process share.
 ///
 /// Cells are borrowed only between two awaits.
@@ -86,6 +96,8 @@
     pub news: follow::Options,
     /// Whether the service last answered this host, or it has another origin since.
     pub steady: Cell<bool>,
+    /// From whom what is published is learnt at present; none while an origin is looked for.
+    pub origin: RefCell<Option<Origin>>,
     /// Hosts over which what is believed came. Kept while another origin is looked for, so that
     /// followers of this host are not taken for one.
     pub way: RefCell<Way>,
@@ -127,6 +139,11 @@
     /// Takes in news that held `age` ago; followers are told of it at once.
     pub fn learn(&self, news: Option<News>, age: Duration) {
         let now = self.now();
+        let provenance = Provenance {
+            origin: self.origin.borrow().clone(),
+            age,
+            before: self.age(),
+        };
         if let Some(news) = news {
             let source = &self.source;
             let grace = self.grace();
@@ -135,7 +152,8 @@
             let changes = catalog.learn(now, news, grace, |item| source.decode(item));
             let revision = catalog.revision();
             drop(catalog);
-            changes.iter().for_each(|change| tell(change, revision));
+            let log = |change| tell(change, revision, &provenance);
+            changes.iter().for_each(log);
             if !changes.is_empty() || before != revision {
                 self.redraw();
             }
@@ -251,9 +269,17 @@
     }
 }
 
-fn tell(change: &Change, revision: id::Revision) {
+fn tell(change: &Change, revision: id::Revision, provenance: &Provenance) {
     match change {
-        Change::Config(version) => info!(event = "config", version, revision, "in force"),
+        Change::Config(version) => info!(
+            event = "config",
+            version,
+            revision,
+            origin = ?provenance.origin,
+            age_ms = provenance.age.as_millis() as u64,
+            before_ms = provenance.before.map(|age| age.as_millis() as u64),
+            "in force"
+        ),
         Change::Refused { key, cause } => warn!(event = "item", key, cause, revision, "refused"),
         Change::Server(backend, stage) => {
             info!(event = "backend", %backend, ?stage, revision, "published");
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -51,6 +51,12 @@
 /// Hosts that learn from this one what is published.
 pub const FOLLOWERS: &str = "lentillift_gateway_followers";
 
+/// Origins of published state that were left because they failed, by kind.
+pub const ORIGINS_LOST: &str = "lentillift_gateway_origins_lost_total";
+
+/// Times that what is believed became older than the bound on news.
+pub const OUTDATED: &str = "lentillift_gateway_outdated_total";
+
 /// Bytes of published state that were told to followers.
 pub const NEWS_TOLD: &str = "lentillift_gateway_news_told_bytes_total";
 
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -126,6 +126,14 @@
         "lentillift_gateway_news_told_bytes_total",
         "Bytes of published state that were told to followers.",
     ),
+    (
+        "lentillift_gateway_origins_lost_total",
+        "Times that whoever told what is published was left because it failed or its knowledge was old, by kind.",
+    ),
+    (
+        "lentillift_gateway_outdated_total",
+        "Times that what is believed of the published state became older than the bound on news.",
+    ),
     (
         "lentillift_gateway_repeats_refused_total",
         "Repeated sends that the budget did not allow.",
--- a/crates/lentillift/src/story.rs
+++ b/crates/lentillift/src/story.rs
@@ -12,13 +12,15 @@
 pub const AROUND: f64 = 5.0;
 
 /// Events that tell what a process believes, whatever request they concern.
-const BELIEFS: [&str; 9] = [
+const BELIEFS: [&str; 11] = [
+    "age",
     "config",
     "origin",
     "backend",
     "evacuation",
     "host",
     "ready",
+    "stall",
     "start",
     "stop",
     "reload",
