Show that late messages and answers are held for fresh knowledge

A follower takes the age that its origin wrote down plus the time that the message took for the age of what it knows; the time before the first byte is not counted. Over a way that gets later by half a second a second a host held its knowledge for 9 ms old when it had been outdated for 230 ms, and stayed with its origin; the reader of the service held an answer that left 409 ms ago for 8 ms old.

No assertion depends on the machine's speed: a host that does not know of a change may not hold what it knows for fresher than that change.

--- /dev/null
+++ b/crates/lentillift-gateway/tests/ages.rs
@@ -0,0 +1,205 @@
+//! How old a host takes its knowledge for, over ways that are late.
+
+mod common;
+
+use common::Memory;
+use common::Shared;
+use common::host;
+use common::introduce;
+use common::item;
+use common::listener;
+use common::run;
+use lentillift_fleet::follow;
+use lentillift_fleet::follow::Candidate;
+use lentillift_fleet::follow::Origin;
+use lentillift_gateway::feed;
+use lentillift_gateway::listen;
+use lentillift_scatter::source::Item;
+use lentillift_scatter::source::News;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// Time between two looks at a host.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Changes that are published, and the pause before each; it is no multiple of any time between two
+/// messages.
+const CHANGES: u64 = 10;
+const PAUSE: Duration = Duration::from_millis(270);
+
+/// Time for which a host that does not hear of a change is watched.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// How late bytes are on a way, by the time since it was opened.
+type Lag = fn(Duration) -> Duration;
+
+/// Accepts connections to `to` whose bytes are late by `lag`.
+async fn late_way(listener: TcpListener, to: SocketAddr, lag: Lag) {
+    let opened = Instant::now();
+    while let Ok((near, _)) = listener.accept().await {
+        let far = TcpStream::connect(to).await.expect("connected");
+        let (near_in, near_out) = near.into_split();
+        let (far_in, far_out) = far.into_split();
+        tokio::task::spawn_local(carry(near_in, far_out, opened, lag));
+        tokio::task::spawn_local(carry(far_in, near_out, opened, lag));
+    }
+}
+
+/// Carries bytes one way; none overtakes another.
+async fn carry<R, W>(mut from: R, mut to: W, opened: Instant, lag: Lag)
+where
+    R: AsyncReadExt + Unpin,
+    W: AsyncWriteExt + Unpin + 'static,
+{
+    let (sender, mut receiver) = mpsc::unbounded_channel::<(tokio::time::Instant, Vec<u8>)>();
+    tokio::task::spawn_local(async move {
+        while let Some((due, bytes)) = receiver.recv().await {
+            tokio::time::sleep_until(due).await;
+            if to.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    });
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        let due = tokio::time::Instant::now() + lag(opened.elapsed());
+        if sender.send((due, buffer[..length].to_vec())).is_err() {
+            return;
+        }
+    }
+}
+
+/// A name under which a host learns from the one named `origin`.
+fn follower_of(origin: &str) -> String {
+    let candidate = |name: &str| Candidate {
+        host: name.into(),
+        domain: "a".into(),
+    };
+    let others = [candidate(origin)];
+    let best = |name: &String| follow::order(&candidate(name), &others, follow::FAN, 0).remove(0);
+    let mut names = (0..).map(|number| format!("follower-{number}"));
+    let name = names.find(|name| best(name) == Origin::Host(origin.into()));
+    name.expect("some name ranks below the origin")
+}
+
+fn config(revision: u64) -> Item {
+    Item {
+        revision,
+        ..item("config", format!("s{revision}"))
+    }
+}
+
+/// A host that has just read revision 1, and one that follows it over a way that is late by `lag`.
+async fn pair(lag: Lag) -> (Shared, Shared) {
+    let (inner, inside) = listener().await;
+    let (outer, outside) = listener().await;
+    let origin = host("origin", "a", outside, Memory::default());
+    let items = vec![config(1)];
+    origin.learn(Some(News::All { revision: 1, items }), Duration::ZERO);
+    origin.swim.borrow_mut().serve();
+    tokio::task::spawn_local(listen::nodes(origin.clone(), inner));
+    tokio::task::spawn_local(late_way(outer, inside, lag));
+    let away = Memory {
+        away: true,
+        ..Memory::default()
+    };
+    let (_, unused) = listener().await;
+    let follower = host(&follower_of("origin"), "a", unused, away);
+    introduce(&origin, &follower);
+    tokio::task::spawn_local(feed::follow(follower.clone()));
+    (origin, follower)
+}
+
+/// Has `origin` know at all times that nothing has changed.
+async fn keep_proved(origin: Shared) {
+    loop {
+        origin.learn(None, Duration::ZERO);
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn until_known(host: &Shared, revision: u64) {
+    while host.catalog.borrow().revision() < revision {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Watches `host` until it knows of the revision that has just been published, or for a while: it must not
+/// hold what it knows for fresher than that revision.
+async fn until_heard(host: &Shared, revision: u64) {
+    let published = Instant::now();
+    while published.elapsed() < PATIENCE {
+        let outdated = published.elapsed();
+        let age = host.age().expect("the host knows something");
+        if host.catalog.borrow().revision() >= revision {
+            return;
+        }
+        assert!(age >= outdated, "{age:?}, and outdated for {outdated:?}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// A way gets later little by little, as one on which a queue builds up; each message tells an age that was
+/// true when it was written. A host that goes by that alone stays with its origin and answers callers by a
+/// configuration that was replaced seconds ago.
+macro_rules! knowledge_is_at_least_as_old_as_it_is_held_for {
+    ($($name:ident: $lag:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            run(async {
+                let (origin, follower) = pair($lag).await;
+                tokio::task::spawn_local(keep_proved(origin.clone()));
+                until_known(&follower, 1).await;
+                for revision in 2..=CHANGES {
+                    tokio::time::sleep(PAUSE).await;
+                    let items = vec![config(revision)];
+                    origin.learn(Some(News::Changes { revision, items }), Duration::ZERO);
+                    until_heard(&follower, revision).await;
+                }
+            });
+        }
+    )*};
+}
+
+knowledge_is_at_least_as_old_as_it_is_held_for! {
+    over_a_way_that_gets_later: |open| open / 2;
+    over_a_way_that_is_late_all_the_time: |_| Duration::from_millis(150);
+    over_a_way_that_is_late_by_turns: |open| Duration::from_millis(open.as_millis() as u64 % 700);
+}
+
+/// An answer of the service that nothing has changed waits before its first byte arrives. A host that takes it
+/// for fresh holds what was published meanwhile for not published.
+#[test]
+fn a_late_answer_of_the_service_is_not_fresh() {
+    run(async {
+        let source = Memory {
+            items: vec![config(1)],
+            lag: Duration::from_millis(400),
+            ..Memory::default()
+        };
+        let left = Rc::clone(&source.left);
+        let (_, unused) = listener().await;
+        let reader = host("reader", "a", unused, source);
+        tokio::task::spawn_local(feed::follow(reader.clone()));
+        until_known(&reader, 1).await;
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(4) {
+            if let Some(left) = left.get() {
+                let outdated = left.elapsed();
+                let age = reader.age().expect("the reader knows something");
+                assert!(
+                    age >= outdated,
+                    "{age:?}, and the answer left {outdated:?} ago"
+                );
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    });
+}
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -8,7 +8,9 @@
 use http::StatusCode;
 use http::request;
 use http::response;
+use lentillift_core::error::Error;
 use lentillift_core::error::Result;
+use lentillift_core::error::Step;
 use lentillift_core::id;
 use lentillift_fleet::follow;
 use lentillift_fleet::packet::Body;
@@ -43,10 +45,12 @@
 use lentillift_scatter::source::Item;
 use lentillift_scatter::source::Meaning;
 use lentillift_scatter::source::News;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -102,6 +106,21 @@
 #[derive(Debug, Default, Clone)]
 pub struct Memory {
     pub items: Vec<Item>,
+    /// Whether it turns this host away.
+    pub away: bool,
+    /// How long an answer of a watch is on its way.
+    pub lag: Duration,
+    /// When the last answer of a watch left.
+    pub left: Rc<Cell<Option<Instant>>>,
+}
+
+impl Memory {
+    fn turn_away(&self) -> Result<()> {
+        match self.away {
+            true => Err(Error::new(Step::Read, "service", "turned away")),
+            false => Ok(()),
+        }
+    }
 }
 
 fn at_once<T>(content: T) -> Brought<T> {
@@ -113,6 +132,7 @@
 
 impl Source for Memory {
     async fn read(&self, _silence: Duration) -> Result<Brought<News>> {
+        self.turn_away()?;
         let items = self.items.clone();
         Ok(at_once(News::All { revision: 1, items }))
     }
@@ -123,7 +143,10 @@
         wait: Duration,
         _silence: Duration,
     ) -> Result<Brought<Watched>> {
+        self.turn_away()?;
         tokio::time::sleep(wait).await;
+        self.left.set(Some(Instant::now()));
+        tokio::time::sleep(self.lag).await;
         Ok(at_once(Watched::Changes(News::Changes {
             revision: after,
             items: Vec::new(),
