Prove the age of what is published by answers to questions

What callers saw: searches were sent to the services that a confirmed configuration had replaced more than 5 s before.

Cause: a message tells the age that its sender's knowledge had when it was written, and its receiver added the time from the first byte to the last. What it waited before its first byte, at the sender, on the way and unread, was not counted, nor was the wait of an answer of the service. Over a way that gets later little by little messages come as far apart as ever, so neither silence nor age showed it: the follower stayed with its origin, and all hosts behind it did. Class: what is believed because it came, not because it answers a question that was asked since.

Now a follower asks its origin in the body of its own request, each heartbeat and whenever something comes by itself; each message names the last question that had arrived when it was written. Knowledge is as old as the time since that question, by the follower's own clock, and what the origin told. No clocks of two hosts are compared. A watch that tells of no change proves what its time beyond the wait leaves, any other answer the time since it was asked for. An origin sends no heartbeats by itself any more.

--- a/crates/lentillift-fleet/src/follow.rs
+++ b/crates/lentillift-fleet/src/follow.rs
@@ -12,10 +12,11 @@
 //! its failure domain, and those to as many each: the wait grows with the logarithm of the hosts.
 //!
 //! Nobody elects anybody: each host ranks those that it knows of by rendezvous hashing. Two that
-//! disagree cost some reads. Whoever is followed says how old its knowledge is and over which hosts it
-//! came, so a host that is cut off from the service shows by its age, a ring of hosts that follow each
+//! disagree cost some reads. Whoever is followed proves how old its knowledge is ([`proof`]) and says over which
+//! hosts it came, so a host that is cut off from the service shows by its age, a ring of hosts that follow each
 //! other by the way, and followers go on to the next in their order, which holds the service itself.
 
+pub mod proof;
 pub mod search;
 pub mod way;
 
@@ -67,7 +68,7 @@
     /// What a change brought has been under way for a while and followers have taken it in for as long;
     /// held for the whole time, a watch would return when they have left for other origins.
     pub fn next_watch(&self, age: Duration) -> Duration {
-        self.watch().saturating_sub(age).max(self.pause())
+        self.watch().saturating_sub(age)
     }
 
     /// Time beyond it after which a watch is given up.
@@ -80,7 +81,7 @@
         self.bound / 12
     }
 
-    /// Time between two frames to a follower when nothing changes.
+    /// Time between two questions of a follower when nothing changes.
     pub fn heartbeat(&self) -> Duration {
         self.bound / 9
     }
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -1,5 +1,6 @@
 //! Learning what is published, from the service or from another host, and passing it on.
 
+mod ask;
 mod service;
 pub mod tell;
 
@@ -10,9 +11,8 @@
 use crate::metric;
 use crate::notice::Frame;
 use crate::source::Source;
-use bytes::Bytes;
+use ask::Inquiry;
 use http::Request;
-use http_body_util::Full;
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
@@ -33,7 +33,7 @@
 use tracing::warn;
 
 /// Path of these requests; the revision that the follower knows comes after it.
-pub const PATH: &str = "/v2/feed/";
+pub const PATH: &str = "/v3/feed/";
 
 /// How long a process that starts waits for other hosts to turn up before it reads by itself: many
 /// round trips. Callers wait for it too when a whole fleet starts anew.
@@ -144,7 +144,8 @@
 {
     let origin = Origin::Host(name.clone());
     let began = host.now();
-    let mut reader = match open(host, name).await {
+    let (inquiry, questions) = Inquiry::start(host.clock, name, host.news.heartbeat());
+    let mut reader = match open(host, name, questions).await {
         Ok(reader) => reader,
         Err(error) => return Left::Failed(error),
     };
@@ -166,7 +167,7 @@
             note_size(host, name, size);
         }
         let way = frame.way.join(" ");
-        if let Err(error) = hear(host, name, frame, size.took) {
+        if let Err(error) = hear(host, name, frame, &inquiry) {
             return Left::Failed(error);
         }
         if !std::mem::replace(&mut is_heard, true) {
@@ -196,9 +197,8 @@
     }
 }
 
-/// Takes in what another host tells in a message that took so long to come, unless its knowledge can't be
-/// relied on.
-fn hear<D, S>(host: &Host<D, S>, name: &id::Host, frame: Frame, took: Duration) -> Result<()>
+/// Takes in what another host tells, unless its knowledge can't be relied on.
+fn hear<D, S>(host: &Host<D, S>, name: &id::Host, frame: Frame, inquiry: &Inquiry) -> Result<()>
 where
     D: Dialect,
     S: Source,
@@ -206,12 +206,13 @@
     let fail = |cause: &dyn std::fmt::Display| Error::new(Step::Check, name, cause);
     let told: Vec<id::Host> = frame.way.iter().map(|host| host.as_str().into()).collect();
     let way = Way::through(&told, &host.name).map_err(|refused| fail(&refused))?;
+    let heard = inquiry.hear(frame.answers);
+    heard.map_err(|unasked| fail(&unasked))?;
     if let Some(ms) = frame.away_ms {
         host.note_away(Duration::from_millis(ms.into()));
     }
     if let Some(ms) = frame.age_ms {
-        // The sender told the age that its knowledge had when the message began.
-        let age = Duration::from_millis(ms.into()) + took;
+        let age = inquiry.age(host.now(), Duration::from_millis(ms.into()));
         let news = frame.news.map(|content| content.news(name)).transpose()?;
         host.learn(news, age);
     }
@@ -223,7 +224,11 @@
     Ok(())
 }
 
-async fn open<D, S>(host: &Host<D, S>, name: &id::Host) -> Result<Reader<Frame>>
+async fn open<D, S>(
+    host: &Host<D, S>,
+    name: &id::Host,
+    questions: frame::Body,
+) -> Result<Reader<Frame>>
 where
     D: Dialect,
     S: Source,
@@ -232,10 +237,11 @@
     let fail = |cause: &str| Error::new(Step::Connect, name, cause);
     let address = address.ok_or_else(|| fail("host is not known"))?;
     let after = host.catalog.borrow().revision();
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(questions);
+    *request.method_mut() = http::Method::POST;
     let uri = format!("http://host{PATH}{after}");
     *request.uri_mut() = uri.parse().map_err(|_| fail("path can't be sent"))?;
-    let sent = tokio::time::timeout(host.news.open(), host.peers.send(address, request)).await;
+    let sent = tokio::time::timeout(host.news.open(), host.peers.stream(address, request)).await;
     let response = sent.map_err(|_| {
         // A connection can be silent for good while a new one works.
         host.peers.drop_connection(address);
--- a/crates/lentillift-gateway/src/feed/service.rs
+++ b/crates/lentillift-gateway/src/feed/service.rs
@@ -5,7 +5,6 @@
 use crate::dialect::Dialect;
 use crate::host::Host;
 use crate::metric;
-use crate::source::Brought;
 use crate::source::Source;
 use crate::source::Watched;
 use lentillift_core::error::Error;
@@ -14,6 +13,7 @@
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_fleet::follow::Origin;
+use lentillift_fleet::follow::proof;
 use lentillift_fleet::follow::way::Way;
 use lentillift_scatter::source::News;
 use std::time::Duration;
@@ -58,25 +58,24 @@
         return read(host).await;
     }
     let asked = host.now();
-    let watched = watch(host, after).await?;
-    let Watched::Changes(news) = watched.content else {
+    let wait = host.news.next_watch(host.age().unwrap_or_default());
+    let Watched::Changes(news) = watch(host, after, wait).await? else {
         return read(host).await;
     };
+    let passed = host.now().saturating_sub(asked);
     let age = match &news {
-        // Nothing had changed when the answer left.
-        News::Changes { items, .. } if items.is_empty() => watched.took,
-        // The answer left some time after it was asked for, and at once after the change.
-        _ => (host.news.slack() + watched.took).min(host.now().saturating_sub(asked)),
+        News::Changes { items, .. } if items.is_empty() => proof::age_after_watch(passed, wait),
+        // When the change came is not known.
+        _ => passed,
     };
     Ok((news, age))
 }
 
-async fn watch<D, S>(host: &Host<D, S>, after: id::Revision) -> Result<Brought<Watched>>
+async fn watch<D, S>(host: &Host<D, S>, after: id::Revision, wait: Duration) -> Result<Watched>
 where
     D: Dialect,
     S: Source,
 {
-    let wait = host.news.next_watch(host.age().unwrap_or_default());
     let watch = host.source.watch(after, wait, host.news.slack());
     let watched = within(wait + host.news.bound, watch).await;
     let board = &host.board;
@@ -93,9 +92,7 @@
     let asked = host.now();
     let read = within(host.news.bound, host.source.read(READ_SILENCE)).await;
     host.board.call(metric::SERVICE_CALLS, "read", read.is_ok());
-    let read = read?;
-    let age = (host.news.slack() + read.took).min(host.now().saturating_sub(asked));
-    Ok((read.content, age))
+    Ok((read?, host.now().saturating_sub(asked)))
 }
 
 /// What a call to the service brings, unless its answer takes longer than `most` altogether.
--- a/crates/lentillift-gateway/src/feed/tell.rs
+++ b/crates/lentillift-gateway/src/feed/tell.rs
@@ -2,21 +2,32 @@
 
 use crate::dialect::Dialect;
 use crate::frame;
+use crate::frame::Reader;
 use crate::host::Host;
 use crate::host::Stage;
 use crate::metric;
 use crate::notice::Frame;
+use crate::notice::Question;
 use crate::source::Source;
 use bytes::Bytes;
 use futures_util::stream;
+use hyper::body::Incoming;
 use lentillift_core::error::Result;
 use lentillift_core::id;
+use lentillift_fleet::follow::proof::Number;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::watch;
+use tracing::debug;
 use tracing::warn;
 
-/// Tells a follower that knows everything up to `after` what changes.
-pub fn tell<D, S>(host: Rc<Host<D, S>>, after: id::Revision) -> frame::Body
+/// Tells a follower that knows everything up to `after` what changes, and answers the `questions` in the body
+/// of its request.
+pub fn tell<D, S>(
+    host: Rc<Host<D, S>>,
+    after: id::Revision,
+    questions: Option<Incoming>,
+) -> frame::Body
 where
     D: Dialect,
     S: Source,
@@ -29,6 +40,8 @@
         after,
         changed,
         stage,
+        questions: questions.map(|body| Reader::new("follower", body)),
+        answers: 0,
         first: true,
     };
     frame::body(stream::unfold(feed, |mut feed| async move {
@@ -43,6 +56,9 @@
     after: id::Revision,
     changed: watch::Receiver<u64>,
     stage: watch::Receiver<Stage>,
+    questions: Option<Reader<Question>>,
+    /// The last question that has arrived.
+    answers: Number,
     first: bool,
 }
 
@@ -58,13 +74,21 @@
     D: Dialect,
     S: Source,
 {
-    /// The next frame, at once, after a change, or after a while; none when this process ends.
+    /// The next frame, at once, after a change, or when it is asked for; none when this process ends or the
+    /// follower asks nothing any more.
     async fn next(&mut self) -> Option<Bytes> {
         if !std::mem::take(&mut self.first) {
+            let silence = self.host.news.bound;
             tokio::select! {
                 _ = self.changed.changed() => {}
                 _ = self.stage.wait_for(|stage| *stage >= Stage::Closing) => return None,
-                () = tokio::time::sleep(self.host.news.heartbeat()) => {}
+                question = question(&mut self.questions, silence) => match question {
+                    Ok(question) => self.answers = question.number,
+                    Err(error) => {
+                        debug!(event = "news", %error, "a follower has left");
+                        return None;
+                    }
+                }
             }
         }
         match self.message() {
@@ -82,7 +106,8 @@
         let news = host.news_after(self.after)?;
         let way = host.way.borrow();
         let message = Frame {
-            age_ms: host.age().map(|age| age.as_millis() as u32),
+            answers: self.answers,
+            age_ms: host.age().map(rounded_up),
             steady: host.steady.get(),
             way: way.hosts().iter().map(|host| host.to_string()).collect(),
             away_ms: host.away().map(|age| age.as_millis() as u32),
@@ -96,3 +121,16 @@
         Ok(bytes)
     }
 }
+
+/// The next question; none ever comes where nobody can ask.
+async fn question(questions: &mut Option<Reader<Question>>, silence: Duration) -> Result<Question> {
+    match questions {
+        Some(questions) => questions.next(silence).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// An age in milliseconds, never less than it is.
+fn rounded_up(age: Duration) -> u32 {
+    u32::try_from(age.as_micros().div_ceil(1000)).unwrap_or(u32::MAX)
+}
--- a/crates/lentillift-gateway/src/listen.rs
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -202,7 +202,10 @@
     }
     let after = path.strip_prefix(feed::PATH);
     match after.and_then(|after| after.parse().ok()) {
-        Some(after) => Response::new(Either::Right(feed::tell::tell(host, after))),
+        Some(after) => {
+            let questions = Some(request.into_body());
+            Response::new(Either::Right(feed::tell::tell(host, after, questions)))
+        }
         None => bad().map(Either::Left),
     }
 }
--- a/crates/lentillift-gateway/src/notice.rs
+++ b/crates/lentillift-gateway/src/notice.rs
@@ -1,4 +1,4 @@
-//! What a follower is told, as it stands on the wire.
+//! What a follower asks and is told, as it stands on the wire.
 
 use crate::frame;
 use crate::pack::Packed;
@@ -8,10 +8,18 @@
 use lentillift_scatter::source::Item;
 use lentillift_scatter::source::News;
 
+/// A question of a follower whether it knows all that its origin does, as it stands on the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Question {
+    pub(crate) number: u32,
+}
+
 /// One message to a follower, as it stands on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct Frame {
-    /// Age of the sender's knowledge; none if it has none.
+    /// The last question that had arrived when this was written; 0 before the first.
+    pub(crate) answers: u32,
+    /// Age of the sender's knowledge when this was written; none if it has none.
     pub(crate) age_ms: Option<u32>,
     /// Whether the sender reaches its origin, as far as it knows.
     pub(crate) steady: bool,
--- a/crates/lentillift-gateway/src/peer.rs
+++ b/crates/lentillift-gateway/src/peer.rs
@@ -1,10 +1,12 @@
 //! Connections to other hosts: one `h2` connection each, opened when it is first needed.
 
+use crate::frame;
 use crate::local::Executor;
 use crate::pool::tune;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http_body_util::Either;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
@@ -24,7 +26,10 @@
 /// Bytes that a peer may send before they are read.
 const WINDOW: u32 = 1024 * 1024;
 
-type Sender = http2::SendRequest<Full<Bytes>>;
+/// What is sent: a whole message, or messages that are made while they are sent.
+type Body = Either<Full<Bytes>, frame::Body>;
+
+type Sender = http2::SendRequest<Body>;
 
 /// Connections to other hosts.
 #[derive(Debug, Default)]
@@ -42,6 +47,28 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>> {
+        self.call(address, request.map(Either::Left)).await
+    }
+
+    /// Sends a request to the host at `address` whose body is made while it is sent. Whoever gives up on the
+    /// response has to end it as well.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Peers::send`].
+    pub async fn stream(
+        &self,
+        address: SocketAddr,
+        request: Request<frame::Body>,
+    ) -> Result<Response<Incoming>> {
+        self.call(address, request.map(Either::Right)).await
+    }
+
+    async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
     ) -> Result<Response<Incoming>> {
         let mut sender = self.sender(address).await?;
         let response = sender.send_request(request).await;
--- a/crates/lentillift-gateway/src/source.rs
+++ b/crates/lentillift-gateway/src/source.rs
@@ -17,15 +17,6 @@
     Forgotten,
 }
 
-/// What a call brought.
-#[derive(Debug)]
-pub struct Brought<T> {
-    /// The content of the answer.
-    pub content: T,
-    /// Time from the first bytes of the answer to its last: the service knew no more when it began.
-    pub took: Duration,
-}
-
 /// A service that publishes items under keys, with revisions.
 ///
 /// An answer that is still coming is waited for, however long it takes: large values over a busy link take
@@ -37,9 +28,9 @@
     /// # Errors
     ///
     /// When the service can't be reached, refuses, falls silent, or its answer can't be understood.
-    fn read(&self, silence: Duration) -> impl Future<Output = Result<Brought<News>>>;
+    fn read(&self, silence: Duration) -> impl Future<Output = Result<News>>;
 
-    /// Waits up to `wait` for changes after `after`; fails if nothing comes for `silence` after that.
+    /// Waits up to `wait` for changes after `after`, and answers without any no sooner; fails if nothing comes for `silence` after that.
     ///
     /// # Errors
     ///
@@ -49,7 +40,7 @@
         after: id::Revision,
         wait: Duration,
         silence: Duration,
-    ) -> impl Future<Output = Result<Brought<Watched>>>;
+    ) -> impl Future<Output = Result<Watched>>;
 
     /// Says what an item means.
     fn decode(&self, item: &Item) -> Meaning;
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -27,7 +27,6 @@
 use lentillift_gateway::host::Host;
 use lentillift_gateway::listen;
 use lentillift_gateway::quarantine;
-use lentillift_gateway::source::Brought;
 use lentillift_gateway::source::Source;
 use lentillift_gateway::source::Watched;
 use lentillift_scatter::budget;
@@ -108,13 +107,19 @@
     pub items: Vec<Item>,
     /// Whether it turns this host away.
     pub away: bool,
-    /// How long an answer of a watch is on its way.
+    /// How long an answer is on its way.
     pub lag: Duration,
-    /// When the last answer of a watch left.
+    /// When the last answer left.
     pub left: Rc<Cell<Option<Instant>>>,
 }
 
 impl Memory {
+    /// An answer leaves now, and arrives when this returns.
+    async fn leave(&self) {
+        self.left.set(Some(Instant::now()));
+        tokio::time::sleep(self.lag).await;
+    }
+
     fn turn_away(&self) -> Result<()> {
         match self.away {
             true => Err(Error::new(Step::Read, "service", "turned away")),
@@ -123,18 +128,12 @@
     }
 }
 
-fn at_once<T>(content: T) -> Brought<T> {
-    Brought {
-        content,
-        took: Duration::ZERO,
-    }
-}
-
 impl Source for Memory {
-    async fn read(&self, _silence: Duration) -> Result<Brought<News>> {
+    async fn read(&self, _silence: Duration) -> Result<News> {
         self.turn_away()?;
         let items = self.items.clone();
-        Ok(at_once(News::All { revision: 1, items }))
+        self.leave().await;
+        Ok(News::All { revision: 1, items })
     }
 
     async fn watch(
@@ -142,15 +141,14 @@
         after: id::Revision,
         wait: Duration,
         _silence: Duration,
-    ) -> Result<Brought<Watched>> {
+    ) -> Result<Watched> {
         self.turn_away()?;
         tokio::time::sleep(wait).await;
-        self.left.set(Some(Instant::now()));
-        tokio::time::sleep(self.lag).await;
-        Ok(at_once(Watched::Changes(News::Changes {
+        self.leave().await;
+        Ok(Watched::Changes(News::Changes {
             revision: after,
             items: Vec::new(),
-        })))
+        }))
     }
 
     fn decode(&self, item: &Item) -> Meaning {
