--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -86,6 +86,8 @@
     pub ready: SocketAddr,
     /// Where other hosts connect, by TCP and UDP.
     pub node: SocketAddr,
+    /// Where their connections are accepted; not at `node` if something in between passes them on.
+    pub inbound: SocketAddr,
     /// Where metrics are read; none to serve them nowhere.
     pub metrics: Option<SocketAddr>,
     /// What may change while the process runs.
@@ -147,7 +149,7 @@
     let hangup = handler(SignalKind::hangup())?;
     let front = bind(settings.front).await?;
     let ready = bind(settings.ready).await?;
-    let node = bind(settings.node).await?;
+    let inbound = bind(settings.inbound).await?;
     let socket = UdpSocket::bind(settings.node).await;
     let socket =
         Rc::new(socket.map_err(|e| Error::new(Step::Listen, format!("udp {}", settings.node), e))?);
@@ -165,7 +167,7 @@
         tokio::task::spawn_local(listen::plain(host.clone(), listener, Audience::Operators));
     }
     tokio::task::spawn_local(listen::plain(host.clone(), ready, Audience::Balancer));
-    tokio::task::spawn_local(listen::nodes(host.clone(), node));
+    tokio::task::spawn_local(listen::nodes(host.clone(), inbound));
     tokio::task::spawn_local(member::run(host.clone(), socket.clone()));
     tokio::task::spawn_local(feed::follow(host.clone()));
     tokio::task::spawn_local(quarantine::spread(host.clone()));
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -232,6 +232,7 @@
         callers: MOST_CALLERS,
         ready: unused,
         node,
+        inbound: node,
         metrics: None,
         tuning: Tuning {
             seeds: Vec::new(),
