Show that a host which stood still searches by what was replaced meanwhile

A process is stopped for longer than a configuration may take to be in force, and a search waits in its sockets. When it runs again it answers that first and reads the news afterwards: the search goes to the shards that were replaced. Two tests beside it hold what has to stay: a host serves by what it knows while the service is away, and when it hears no news.

--- a/crates/lentillift-gateway/tests/ages.rs
+++ b/crates/lentillift-gateway/tests/ages.rs
@@ -2,13 +2,22 @@
 
 mod common;
 
+use common::Act;
+use common::Backend;
 use common::Memory;
+use common::Served;
 use common::Shared;
+use common::ask;
+use common::backend;
+use common::get;
 use common::host;
 use common::introduce;
 use common::item;
 use common::listener;
 use common::run;
+use common::serve;
+use common::singles;
+use common::whole;
 use lentillift_fleet::follow;
 use lentillift_fleet::follow::Candidate;
 use lentillift_fleet::follow::Origin;
@@ -203,3 +212,77 @@
         }
     });
 }
+
+/// A host with two backend servers, of the service that route `/one/` leads to and of none, that knew of that
+/// `age` ago.
+async fn outdated(age: Duration) -> (Served, Backend, Backend) {
+    let first = backend(vec![Act::Write(whole("first"))]).await;
+    let second = backend(vec![Act::Write(whole("second"))]).await;
+    let served = serve(Vec::new()).await;
+    let items = singles(&[first.address]);
+    let news = News::All { revision: 1, items };
+    served.host.learn(Some(news), age);
+    (served, first, second)
+}
+
+/// What a host that stood still missed: its server has left, and another one has taken its place.
+fn missed(second: &Backend) -> News {
+    let entry = format!("s {} a", second.address);
+    let left = Item {
+        revision: 2,
+        value: None,
+        ..item("b0", String::new())
+    };
+    let came = Item {
+        revision: 2,
+        ..item("b1", entry)
+    };
+    News::Changes {
+        revision: 2,
+        items: vec![left, came],
+    }
+}
+
+/// A process stands still for longer than news may take. When it runs again, requests wait in its sockets beside
+/// the news that it missed; answered first, they go by what was replaced meanwhile.
+#[test]
+fn a_host_that_stood_still_hears_the_news_before_it_serves() {
+    run(async {
+        let (served, _first, second) = outdated(Duration::from_secs(10)).await;
+        let answer = tokio::task::spawn_local({
+            let front = served.front;
+            async move { ask(front, &get("/one/x", "i")).await }
+        });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        served.host.learn(Some(missed(&second)), Duration::ZERO);
+        let answer = answer.await.expect("an answer");
+        assert!(answer.ends_with("second"), "{answer}");
+    });
+}
+
+/// The service is away for all. Nobody can know more, and callers are served by what there is, without a wait.
+#[test]
+fn a_host_serves_by_old_knowledge_while_the_service_is_away() {
+    run(async {
+        let (served, _first, second) = outdated(Duration::from_secs(10)).await;
+        served.host.note_away(Duration::ZERO);
+        let answer = tokio::task::spawn_local({
+            let front = served.front;
+            async move { ask(front, &get("/one/x", "i")).await }
+        });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        served.host.learn(Some(missed(&second)), Duration::ZERO);
+        let answer = answer.await.expect("an answer");
+        assert!(answer.ends_with("first"), "{answer}");
+    });
+}
+
+/// A host is cut off from all that could tell it news. Its callers are served by what it knows.
+#[test]
+fn a_host_that_hears_no_news_serves_by_what_it_knows() {
+    run(async {
+        let (served, _first, _second) = outdated(Duration::from_secs(10)).await;
+        let answer = ask(served.front, &get("/one/x", "i")).await;
+        assert!(answer.ends_with("first"), "{answer}");
+    });
+}
