Hear the news before requests are served, after a host stood still

What callers saw: a few searches at one host went to shards that had been replaced.

Cause: a process that stood still finds requests in its sockets beside the news that it missed, and served them first. Its knowledge was older than the bound at that moment, and nothing tied that age to serving.

Now a request waits while what is believed is older than the bound on news, until it is not, for as long as it takes to give an origin up at most and half of its caller's time. A request that is served at once is then served by what was complete within the bound, whatever delayed it. While the service is known to be away nobody can know more, and requests are served by what there is.

--- a/crates/lentillift-fleet/src/follow.rs
+++ b/crates/lentillift-fleet/src/follow.rs
@@ -116,6 +116,20 @@
         }
     }
 
+    /// Whether a request is served by knowledge of this age, given the time since the service was last known to be
+    /// away.
+    ///
+    /// Pattern: a process stands still, and when it runs again requests wait in its sockets beside the news that
+    /// it missed. Served first, they would go by what was replaced long ago.
+    pub fn admit(&self, age: Duration, away: Option<Duration>) -> Admission {
+        // Nobody can know more then.
+        let is_away = away.is_some_and(|away| away <= self.bound);
+        match age <= self.bound || is_away {
+            true => Admission::Serve,
+            false => Admission::Await(self.frame()),
+        }
+    }
+
     /// Age of knowledge at which another origin is tried: a watch, its slack and a heartbeat, which
     /// leaves more than a third of the bound to find one.
     pub fn stale(&self) -> Duration {
@@ -123,6 +137,15 @@
     }
 }
 
+/// What to do with a request, by the age of what its host knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// Serve it now.
+    Serve,
+    /// Wait for news that long at most; most likely it is there already.
+    Await(Duration),
+}
+
 /// Where a host learns what is published.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Origin {
--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -63,8 +63,7 @@
         .delays
         .borrow_mut()
         .note(&Stamp::from(question), host.now());
-    let switches = &host.core.borrow().options.switches;
-    if delay < delay::MOST || !switches.is_on(Mechanism::LateQuestions) {
+    if delay < delay::MOST || !host.is_on(Mechanism::LateQuestions) {
         return Ok(delay);
     }
     let cause = format!("question {} was held up for {delay:?}", question.id);
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -105,7 +105,11 @@
     }
 }
 
-fn order<D, S>(host: &Host<D, S>, round: usize) -> Vec<Origin> {
+fn order<D, S>(host: &Host<D, S>, round: usize) -> Vec<Origin>
+where
+    D: Dialect,
+    S: Source,
+{
     let me = Candidate {
         host: host.name.clone(),
         domain: host.domain.clone(),
@@ -119,8 +123,11 @@
         })
         .collect();
     // Without relays the first host of a failure domain tells all others of it.
-    let relays = host.core.borrow().options.switches.is_on(Mechanism::Relays);
-    let fan = if relays { follow::FAN } else { usize::MAX };
+    let fan = if host.is_on(Mechanism::Relays) {
+        follow::FAN
+    } else {
+        usize::MAX
+    };
     follow::order(&me, &others, fan, round)
 }
 
@@ -212,7 +219,12 @@
         host.note_away(Duration::from_millis(ms.into()));
     }
     if let Some(ms) = frame.age_ms {
-        let age = inquiry.age(host.now(), Duration::from_millis(ms.into()));
+        let told = Duration::from_millis(ms.into());
+        let is_proved = host.is_on(Mechanism::Proofs);
+        let age = match is_proved {
+            true => inquiry.age(host.now(), told),
+            false => told,
+        };
         let news = frame.news.map(|content| content.news(name)).transpose()?;
         host.learn(news, age);
     }
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -61,6 +61,9 @@
 /// When a caller should come back that met a host without a configuration: another host has one.
 const RETRY_UNREADY: Duration = Duration::from_millis(50);
 
+/// How long a caller waits that does not say so, before its route is known.
+const UNKNOWN_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Least buffer that the HTTP library takes, in bytes.
 const LEAST_BUFFER: usize = 8192;
 
@@ -247,9 +250,11 @@
     D: Dialect,
     S: Source,
 {
-    let view = host.core.borrow().view.clone();
     let (mut head, body) = request.into_parts();
     let ask = host.dialect.ask(&head);
+    let most = ask.patience.unwrap_or(UNKNOWN_PATIENCE) / 2;
+    host.catch_up(most).await;
+    let view = host.core.borrow().view.clone();
     let Some(view) = view else {
         turned_away(host, &ask, "no configuration yet");
         return Err(refusal(RETRY_UNREADY));
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -12,6 +12,7 @@
 use lentillift_core::time::Clock;
 use lentillift_core::time::Time;
 use lentillift_fleet::follow;
+use lentillift_fleet::follow::Admission;
 use lentillift_fleet::follow::Origin;
 use lentillift_fleet::follow::way::Way;
 use lentillift_fleet::swim::Swim;
@@ -136,6 +137,11 @@
         self.clock.now()
     }
 
+    /// Whether `mechanism` works.
+    pub fn is_on(&self, mechanism: Mechanism) -> bool {
+        self.core.borrow().options.switches.is_on(mechanism)
+    }
+
     /// Takes in news that held `age` ago; followers are told of it at once.
     pub fn learn(&self, news: Option<News>, age: Duration) {
         let now = self.now();
@@ -205,6 +211,34 @@
         Some(self.now().saturating_sub(proved))
     }
 
+    /// Whether a request is served by what is believed now, or waits for news.
+    fn admit(&self) -> Admission {
+        match self.age().filter(|_| self.is_on(Mechanism::CatchUp)) {
+            Some(age) => self.news.admit(age, self.away()),
+            None => Admission::Serve,
+        }
+    }
+
+    /// Waits, but no longer than `most`, until what is believed may be served by.
+    pub async fn catch_up(&self, most: Duration) {
+        let Admission::Await(wait) = self.admit() else {
+            return;
+        };
+        let mut changed = self.changed.subscribe();
+        let caught_up = async {
+            while self.admit() != Admission::Serve {
+                // The sender is this host's own and lasts as long.
+                let _ = changed.changed().await;
+            }
+        };
+        let waited = tokio::time::timeout(wait.min(most), caught_up).await;
+        let kind = match waited {
+            Ok(()) => "news came",
+            Err(_) => "no news",
+        };
+        self.board.count(metric::CAUGHT_UP, kind);
+    }
+
     /// What a follower that knows everything up to `after` is told; none if it misses nothing.
     ///
     /// # Errors
@@ -219,8 +253,7 @@
         let Some(news) = self.catalog.borrow().news(after) else {
             return Ok(None);
         };
-        let switches = &self.core.borrow().options.switches;
-        let content = Content::of(news, switches.is_on(Mechanism::Packing), "follower")?;
+        let content = Content::of(news, self.is_on(Mechanism::Packing), "follower")?;
         self.told.replace(Some(Told {
             after,
             content: content.clone(),
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -57,6 +57,9 @@
 /// Times that what is believed became older than the bound on news.
 pub const OUTDATED: &str = "lentillift_gateway_outdated_total";
 
+/// Requests that waited for news before they were served, by whether it came.
+pub const CAUGHT_UP: &str = "lentillift_gateway_caught_up_total";
+
 /// Bytes of published state that were told to followers.
 pub const NEWS_TOLD: &str = "lentillift_gateway_news_told_bytes_total";
 
--- a/crates/lentillift-gateway/tests/ages.rs
+++ b/crates/lentillift-gateway/tests/ages.rs
@@ -213,15 +213,12 @@
     });
 }
 
-/// A host with two backend servers, of the service that route `/one/` leads to and of none, that knew of that
-/// `age` ago.
-async fn outdated(age: Duration) -> (Served, Backend, Backend) {
+/// A host that knows of the first of two backend servers, and has heard nothing for longer than news may take.
+async fn outdated() -> (Served, Backend, Backend) {
     let first = backend(vec![Act::Write(whole("first"))]).await;
     let second = backend(vec![Act::Write(whole("second"))]).await;
-    let served = serve(Vec::new()).await;
-    let items = singles(&[first.address]);
-    let news = News::All { revision: 1, items };
-    served.host.learn(Some(news), age);
+    let served = serve(singles(&[first.address])).await;
+    tokio::time::sleep(served.host.news.bound + LOOK).await;
     (served, first, second)
 }
 
@@ -248,7 +245,7 @@
 #[test]
 fn a_host_that_stood_still_hears_the_news_before_it_serves() {
     run(async {
-        let (served, _first, second) = outdated(Duration::from_secs(10)).await;
+        let (served, _first, second) = outdated().await;
         let answer = tokio::task::spawn_local({
             let front = served.front;
             async move { ask(front, &get("/one/x", "i")).await }
@@ -264,7 +261,7 @@
 #[test]
 fn a_host_serves_by_old_knowledge_while_the_service_is_away() {
     run(async {
-        let (served, _first, second) = outdated(Duration::from_secs(10)).await;
+        let (served, _first, second) = outdated().await;
         served.host.note_away(Duration::ZERO);
         let answer = tokio::task::spawn_local({
             let front = served.front;
@@ -281,7 +278,7 @@
 #[test]
 fn a_host_that_hears_no_news_serves_by_what_it_knows() {
     run(async {
-        let (served, _first, _second) = outdated(Duration::from_secs(10)).await;
+        let (served, _first, _second) = outdated().await;
         let answer = ask(served.front, &get("/one/x", "i")).await;
         assert!(answer.ends_with("first"), "{answer}");
     });
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -94,6 +94,10 @@
         "lentillift_gateway_caller_connections_total",
         "Connections of callers that were taken.",
     ),
+    (
+        "lentillift_gateway_caught_up_total",
+        "Requests that waited for news because what is believed was older than its bound, by whether news came.",
+    ),
     (
         "lentillift_gateway_config_version",
         "Version of the configuration in force; 0 before the first.",
--- a/crates/lentillift-scatter/src/switch.rs
+++ b/crates/lentillift-scatter/src/switch.rs
@@ -51,6 +51,10 @@
     Relays = "relays",
     /// Packing what is published on its way between hosts.
     Packing = "packing",
+    /// Counting the age of what another host tells from the time of a question that it answers.
+    Proofs = "proofs",
+    /// Hearing the news before requests are served, after the process stood still.
+    CatchUp = "catch-up",
     /// Stopping requests that end the servers which run them.
     Quarantine = "quarantine",
     /// Asking servers that leave where nothing else is left.
