Count the way of the word that the service was away

Found while the cause of the late configurations was sought elsewhere. A message tells for how long the service has not been away; taken at its word, late word makes the service seem away until later than it was.

It now counts from the question that the message answers, like the age of knowledge, and is rounded up.

--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -215,18 +215,20 @@
     let way = Way::through(&told, &host.name).map_err(|refused| fail(&refused))?;
     let heard = inquiry.hear(frame.answers);
     heard.map_err(|unasked| fail(&unasked))?;
-    if let Some(ms) = frame.away_ms {
-        host.note_away(Duration::from_millis(ms.into()));
-    }
-    if let Some(ms) = frame.age_ms {
+    let is_proved = host.is_on(Mechanism::Proofs);
+    let age = |ms: u32| {
         let told = Duration::from_millis(ms.into());
-        let is_proved = host.is_on(Mechanism::Proofs);
-        let age = match is_proved {
+        match is_proved {
             true => inquiry.age(host.now(), told),
             false => told,
-        };
+        }
+    };
+    if let Some(away_ms) = frame.away_ms {
+        host.note_away(age(away_ms));
+    }
+    if let Some(age_ms) = frame.age_ms {
         let news = frame.news.map(|content| content.news(name)).transpose()?;
-        host.learn(news, age);
+        host.learn(news, age(age_ms));
     }
     if !frame.steady && host.age().is_some() {
         return Err(fail(&"its origin is lost"));
--- a/crates/lentillift-gateway/src/feed/tell.rs
+++ b/crates/lentillift-gateway/src/feed/tell.rs
@@ -110,7 +110,7 @@
             age_ms: host.age().map(rounded_up),
             steady: host.steady.get(),
             way: way.hosts().iter().map(|host| host.to_string()).collect(),
-            away_ms: host.away().map(|age| age.as_millis() as u32),
+            away_ms: host.away().map(rounded_up),
             news,
         };
         let bytes = frame::frame(&message, "follower")?;
--- a/crates/lentillift-gateway/tests/ages.rs
+++ b/crates/lentillift-gateway/tests/ages.rs
@@ -183,6 +183,28 @@
     over_a_way_that_is_late_by_turns: |open| Duration::from_millis(open.as_millis() as u64 % 700);
 }
 
+/// Word that the service was away is late on its way. Taken for younger than it is, it hides that entries of
+/// backend servers lapsed after the service had come back, and servers that are gone are asked.
+#[test]
+fn word_that_the_service_was_away_is_as_old_as_its_way() {
+    run(async {
+        let (origin, follower) = pair(|_| Duration::from_millis(150)).await;
+        tokio::task::spawn_local(keep_proved(origin.clone()));
+        until_known(&follower, 1).await;
+        origin.note_away(Duration::ZERO);
+        let back = Instant::now();
+        let mut looks = 0;
+        while looks < 50 {
+            let outdated = back.elapsed();
+            if let Some(away) = follower.away() {
+                assert!(away >= outdated, "{away:?}, and back for {outdated:?}");
+                looks += 1;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    });
+}
+
 /// An answer of the service that nothing has changed waits before its first byte arrives. A host that takes it
 /// for fresh holds what was published meanwhile for not published.
 #[test]
