Show that hosts ask the service too late when their knowledge is old

In fleets of 28 hosts in virtual time, cut off from each other and turned away by the service in generated ways, hosts that reach the service hold knowledge that is 2.56 s old with a bound of 3 s, although messages and calls take no time there. They leave an origin whose knowledge is too old only with its next message, and then try silent hosts one after the other before the service.

--- a/crates/lentillift-fleet/tests/follow.rs
+++ b/crates/lentillift-fleet/tests/follow.rs
@@ -336,6 +336,16 @@
         self.now.saturating_sub(first)
     }
 
+    /// The largest age of what those know whom the service does not turn away.
+    fn oldest_that_can_read(&self) -> Duration {
+        let nodes = self.nodes.iter().zip(&self.turned_away);
+        let proved = nodes
+            .filter(|(_, away)| !**away)
+            .map(|(node, _)| node.proved);
+        let first = proved.min().flatten().unwrap_or(self.now);
+        self.now.saturating_sub(first)
+    }
+
     /// Hosts that don't know what is published though they reach the service, or a host that does.
     fn behind(&self) -> Vec<&str> {
         let hosts = 0..self.nodes.len();
@@ -493,3 +503,27 @@
         prop_assert!(world.rings < 40, "rings in {} ticks", world.rings);
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Hosts are cut off from each other in any way, and some are turned away by the service. One that reaches the
+    /// service tried hosts that are silent while its knowledge got older than the bound, and asked the service last.
+    #[test]
+    fn whoever_reaches_the_service_asks_it_in_time(
+        groups in prop::collection::vec(0u8..4, 28),
+        turned_away in prop::collection::vec(prop::bool::weighted(0.4), 28),
+    ) {
+        let mut world = World::new(7);
+        world.run(BOUND * 2);
+        world.cut(groups, turned_away);
+        let end = world.now + BOUND * 3;
+        while world.now < end {
+            world.run(TICK);
+            let oldest = world.oldest_that_can_read();
+            // An origin is left when its knowledge is too old, or with the next message.
+            let allowed = OPTIONS.stale() + OPTIONS.heartbeat();
+            prop_assert!(oldest <= allowed, "{oldest:?}");
+        }
+    }
+}
