Ask the service before silent hosts when knowledge gets old

What it means for callers: the last hosts of a fleet in trouble are told of a change just within the bound or after it.

Cause: an origin whose knowledge got too old was left with its next message, up to a ninth of the bound later, and silent hosts were tried one after the other, an eighth of the bound each, before the service. These times sum up to the bound before the service has been asked at all.

Now an origin is left when its knowledge gets too old, unless a message is just coming; and once one vain try more would end later than that, the service is tried first.

--- a/crates/lentillift-fleet/src/follow.rs
+++ b/crates/lentillift-fleet/src/follow.rs
@@ -23,6 +23,7 @@
 use crate::rendezvous;
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use search::Urgency;
 use std::time::Duration;
 
 /// Hosts that are tried in one round once all that should know have failed: those may be the very ones
@@ -130,6 +131,15 @@
         }
     }
 
+    /// How much time is left to find an origin, given the age of what is known: what one that is silent costs has to
+    /// end before that gets too old.
+    pub fn urgency(&self, age: Option<Duration>) -> Urgency {
+        match age.is_some_and(|age| age + self.open() > self.stale()) {
+            true => Urgency::High,
+            false => Urgency::Low,
+        }
+    }
+
     /// Age of knowledge at which another origin is tried: a watch, its slack and a heartbeat, which
     /// leaves more than a third of the bound to find one.
     pub fn stale(&self) -> Duration {
--- a/crates/lentillift-fleet/src/follow/search.rs
+++ b/crates/lentillift-fleet/src/follow/search.rs
@@ -24,6 +24,15 @@
     Pause,
 }
 
+/// How much time is left to find an origin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// Enough to try the best ones first.
+    Low,
+    /// Too little to find out that other hosts are silent: the service is tried first.
+    High,
+}
+
 /// Why an origin was left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Left {
@@ -50,16 +59,19 @@
         self.round
     }
 
-    /// What to do now, given where to learn, the best first.
-    pub fn next(&mut self, order: &[Origin], now: Time) -> Next {
+    /// What to do now, given where to learn, the best first, and how much time is left.
+    pub fn next(&mut self, order: &[Origin], urgency: Urgency, now: Time) -> Next {
         let early = self
             .service_failed
             .is_some_and(|at| now < at + SERVICE_PAUSE);
-        let mut usable = order.iter().filter(|origin| {
+        let is_usable = |origin: &&Origin| {
             let refuses = early && **origin == Origin::Service;
             !refuses && !self.failed.contains(origin)
-        });
-        let Some(origin) = usable.next().cloned() else {
+        };
+        let service = order.iter().find(|origin| **origin == Origin::Service);
+        let first = service.filter(|_| urgency == Urgency::High);
+        let usable = first.into_iter().chain(order).find(is_usable);
+        let Some(origin) = usable.cloned() else {
             self.failed.clear();
             self.round += 1;
             return Next::Pause;
--- a/crates/lentillift-fleet/tests/follow.rs
+++ b/crates/lentillift-fleet/tests/follow.rs
@@ -186,7 +186,9 @@
         let order = self.order(node);
         let now = self.now;
         let state = &mut self.nodes[node];
-        state.task = match state.search.next(&order, now) {
+        let age = state.proved.map(|proved| now.saturating_sub(proved));
+        let urgency = OPTIONS.urgency(age);
+        state.task = match state.search.next(&order, urgency, now) {
             Next::Pause => Task::Search {
                 at: now + OPTIONS.rest(),
             },
@@ -268,6 +270,10 @@
         if over {
             return self.leave(node, &origin, Left::Again);
         }
+        let age = self.nodes[node].proved.map(|proved| self.now - proved);
+        if age.is_some_and(|age| age > OPTIONS.stale()) {
+            return self.leave(node, &origin, Left::Failed);
+        }
         if !self.reach(node, host) {
             if self.now >= heard + OPTIONS.frame() {
                 self.leave(node, &origin, Left::Failed);
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -63,7 +63,8 @@
     tokio::time::sleep(JOIN).await;
     let mut search = Search::default();
     loop {
-        let next = search.next(&order(&host, search.round()), host.now());
+        let order = order(&host, search.round());
+        let next = search.next(&order, host.news.urgency(host.age()), host.now());
         let Next::Try { origin, until } = next else {
             let pause = host.news.rest().mul_f64(rand::rng().random_range(0.5..1.0));
             tokio::time::sleep(pause).await;
@@ -156,19 +157,15 @@
         Ok(reader) => reader,
         Err(error) => return Left::Failed(error),
     };
-    let mut patience = host.news.open();
-    let mut is_heard = false;
+    let mut allowed = None;
     loop {
         if is_over(host, &origin, until) {
             return Left::Again;
         }
-        let frame = tokio::time::timeout(host.news.bound, reader.next(patience)).await;
-        let slow = || Error::new(Step::Read, name, "a message took longer than the bound");
-        let frame = match frame.unwrap_or_else(|_| Err(slow())) {
+        let frame = match next_frame(host, &mut reader, allowed).await {
             Ok(frame) => frame,
             Err(error) => return Left::Failed(error),
         };
-        patience = host.news.frame();
         let size = reader.last();
         if frame.news.is_some() {
             note_size(host, name, size);
@@ -177,20 +174,57 @@
         if let Err(error) = hear(host, name, frame, &inquiry) {
             return Left::Failed(error);
         }
-        if !std::mem::replace(&mut is_heard, true) {
+        if allowed.is_none() {
             let age_ms = host.age().map(|age| age.as_millis() as u64);
             info!(event = "origin", ?origin, way, age_ms, "followed");
         }
         let patient = host.age().is_none() && host.now() < began + PATIENCE;
         // That a message was long under way is not the origin's fault.
-        let allowed = host.news.stale() + size.took;
-        if !patient && host.age().is_none_or(|age| age > allowed) {
-            let old = format!("knowledge is {:?} old", host.age());
-            return Left::Failed(Error::new(Step::Check, name, old));
+        let most = host.news.stale() + size.took;
+        if !patient && host.age().is_none_or(|age| age > most) {
+            return Left::Failed(too_old(host, name));
         }
+        allowed = Some(most);
     }
 }
 
+/// The next message of an origin, unless it falls silent, or what is believed gets older than `allowed` before
+/// the message begins; the first one may come however old that is.
+async fn next_frame<D, S>(
+    host: &Host<D, S>,
+    reader: &mut Reader<Frame>,
+    allowed: Option<Duration>,
+) -> Result<Frame>
+where
+    D: Dialect,
+    S: Source,
+{
+    let patience = match allowed {
+        Some(_) => host.news.frame(),
+        None => host.news.open(),
+    };
+    if let (Some(allowed), Some(age)) = (allowed, host.age()) {
+        let left = allowed.saturating_sub(age);
+        match tokio::time::timeout(left, reader.next(patience)).await {
+            Ok(frame) => return frame,
+            Err(_) if !reader.is_amid() => return Err(too_old(host, reader.peer())),
+            Err(_) => {}
+        }
+    }
+    let frame = tokio::time::timeout(host.news.bound, reader.next(patience)).await;
+    let slow = "a message took longer than the bound";
+    frame.unwrap_or_else(|_| Err(Error::new(Step::Read, reader.peer(), slow)))
+}
+
+fn too_old<D, S>(host: &Host<D, S>, origin: &str) -> Error
+where
+    D: Dialect,
+    S: Source,
+{
+    let age = host.age().unwrap_or_default();
+    Error::new(Step::Check, origin, format!("knowledge is {age:?} old"))
+}
+
 /// Counts what was told, and logs what took long: links that are full show here.
 fn note_size<D, S>(host: &Host<D, S>, name: &id::Host, size: frame::Size)
 where
--- a/crates/lentillift-gateway/src/frame.rs
+++ b/crates/lentillift-gateway/src/frame.rs
@@ -133,6 +133,11 @@
         self.last
     }
 
+    /// Whether a message has begun and is not complete.
+    pub fn is_amid(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Whom the messages come from.
     pub fn peer(&self) -> &str {
         &self.peer
