Divide the tests of queries by what they are about

Requests under which servers end (suspects.rs) and searches that other hosts are asked for parts of (asked.rs) stand apart now, with the player of one request in common/story.rs.

--- a/crates/lentillift-scatter/tests/common/mod.rs
+++ b/crates/lentillift-scatter/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod story;
+
 use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::id::Service as Name;
 use lentillift_core::time::Time;
--- /dev/null
+++ b/crates/lentillift-scatter/tests/common/story.rs
@@ -0,0 +1,180 @@
+//! One request, played over modelled backend servers.
+
+use super::MS;
+use super::NOON;
+use super::core;
+use super::route;
+use super::scatter;
+use super::server;
+use super::single;
+use super::view;
+use lentillift_core::id::Service;
+use lentillift_core::time::Time;
+use lentillift_scatter::caller::Caller;
+use lentillift_scatter::config::Kind;
+use lentillift_scatter::config::Route;
+use lentillift_scatter::core::Core;
+use lentillift_scatter::leg::Target;
+use lentillift_scatter::outcome::Next;
+use lentillift_scatter::outcome::Outcome;
+use lentillift_scatter::outcome::Send;
+use lentillift_scatter::plan::Plan;
+use lentillift_scatter::query::Query;
+use lentillift_scatter::server::Server;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How a backend server treats a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Way {
+    Replies(Duration),
+    Fails(Duration),
+    Rejects(Duration),
+    Refuses,
+    Breaks(Duration),
+    Ends(Duration),
+    Hangs,
+}
+
+/// How a request went.
+#[derive(Debug)]
+pub struct Story {
+    pub next: Next,
+    pub took: Duration,
+    /// Backend servers that were sent to, in order.
+    pub sent: Vec<String>,
+    /// Times each was sent to at, after the arrival.
+    pub at: Vec<Duration>,
+}
+
+/// Plays one request.
+pub fn play<W>(core: &mut Core, route: Route, patience: Duration, way: W) -> Story
+where
+    W: Fn(&str) -> Way,
+{
+    let services = match &route.target {
+        lentillift_scatter::config::Target::Scatter(scatter) => scatter.shards.to_vec(),
+        split => vec![split.service("id").expect("a service").clone()],
+    };
+    let route = Arc::new(route);
+    let plan = super::plan(core, &mut Caller::default(), &route, services, patience);
+    let mut now = NOON;
+    let (mut query, first) = Query::start(core, plan, now);
+    let mut due: BTreeMap<(Time, u64), Outcome> = BTreeMap::new();
+    let (mut sent, mut at) = (Vec::new(), Vec::new());
+    let mut launch = |now: Time, sends: Vec<Send>, due: &mut BTreeMap<_, _>| {
+        for send in sends {
+            let Target::Server(server) = &send.target else {
+                panic!("no hosts here");
+            };
+            let id = server.entry.id.to_string();
+            let load = None;
+            let (after, outcome) = match way(&id) {
+                Way::Replies(after) => (after, Outcome::Part { load }),
+                Way::Fails(after) => (after, Outcome::Failure { load }),
+                Way::Rejects(after) => (after, Outcome::Rejected { load }),
+                Way::Refuses => (MS, Outcome::Unreachable),
+                Way::Breaks(after) => (after, Outcome::Broken),
+                Way::Ends(after) => (after, Outcome::ServerEnded),
+                Way::Hangs => (send.left, Outcome::Broken),
+            };
+            let (after, outcome) = match after > send.left {
+                true => (send.left, Outcome::Broken),
+                false => (after, outcome),
+            };
+            sent.push(id);
+            at.push(now - NOON);
+            due.insert((now + after, send.number), outcome);
+        }
+    };
+    launch(now, first, &mut due);
+    loop {
+        let until = match query.next(now) {
+            Next::Wait(until) => until,
+            next => {
+                let took = now - NOON;
+                return Story {
+                    next,
+                    took,
+                    sent,
+                    at,
+                };
+            }
+        };
+        let sends = match due.first_key_value() {
+            Some(((time, _), _)) if *time <= until => {
+                let ((time, number), outcome) = due.pop_first().expect("an event");
+                now = time;
+                query.ended(core, now, number, outcome)
+            }
+            _ => {
+                now = until;
+                query.tick(core, now)
+            }
+        };
+        launch(now, sends, &mut due);
+    }
+}
+
+/// Two replicas of each shard, in failure domains `a` (this host's) and `b`.
+pub fn pairs(shards: usize, coverage: f64) -> (Core, Route) {
+    let mut servers = Vec::new();
+    for shard in 0..shards {
+        servers.push(server(&format!("a{shard}"), &format!("s{shard}"), "a"));
+        servers.push(server(&format!("b{shard}"), &format!("s{shard}"), "b"));
+    }
+    let route = route(scatter(shards, coverage), Kind::Idempotent);
+    (core(view(route.clone(), servers)), route)
+}
+
+/// Two replicas of each shard, in failure domains `b` and `c`; none near this host.
+pub fn far_pairs(shards: usize) -> Vec<Arc<Server>> {
+    let replicas = |shard| {
+        ["b", "c"].map(|domain| server(&format!("{domain}{shard}"), &format!("s{shard}"), domain))
+    };
+    (0..shards).flat_map(replicas).collect()
+}
+
+/// The services of so many shards.
+pub fn names(shards: usize) -> Vec<Service> {
+    (0..shards).map(|n| format!("s{n}").into()).collect()
+}
+
+/// A search for five shards that have no replica near this host, which knows a host `h` in domain `b`.
+pub fn far_search() -> (Core, Plan) {
+    search_beside(far_pairs(5))
+}
+
+/// A search for five shards with these servers by a host that knows a host `h` in domain `b`.
+pub fn search_beside(servers: Vec<Arc<Server>>) -> (Core, Plan) {
+    let route = route(scatter(5, 1.0), Kind::Idempotent);
+    let mut core = core(view(route.clone(), servers));
+    core.hosts.update([("h".into(), "b".into())]);
+    let view = core.view.clone().expect("a view");
+    let plan = Plan::new(
+        &mut core,
+        &mut Caller::default(),
+        &Arc::new(route),
+        &view,
+        names(5),
+        NOON,
+        PATIENCE,
+    );
+    (core, plan)
+}
+
+/// `count` backend servers of one service.
+pub fn pool(count: usize, kind: Kind) -> (Core, Route) {
+    let servers = (0..count)
+        .map(|n| server(&format!("a{n}"), "s", "a"))
+        .collect();
+    let route = route(single("s"), kind);
+    (core(view(route.clone(), servers)), route)
+}
+
+pub const PATIENCE: Duration = Duration::from_secs(1);
+
+pub fn whole(story: &Story) -> bool {
+    matches!(story.next, Next::Answer { missing: 0, .. })
+}
