Serve a request by the configuration of the time when it is complete

Found while the cause of the old shards was sought elsewhere. A request took the configuration and its route when its head had come; a body that is sent slowly may take seconds more, up to the caller's whole time, and its search went to shards that had been replaced meanwhile. It now looks its route up again when the body is here; one that has gone by then was there when the request came, and is kept.

Before: a_search_goes_to_the_shards_of_the_time_when_it_is_complete failed (the old shard was asked); now it passes.

--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -264,13 +264,13 @@
         .and_then(|host| host.to_str().ok())
         .unwrap_or_default();
     let authority: Rc<str> = authority.into();
-    let Some(route) = view.config.route(&authority, head.uri.path()).cloned() else {
+    let Some(found) = find(view, &authority, head.uri.path()) else {
         turned_away(host, &ask, "no such route");
         return Err(status(StatusCode::NOT_FOUND));
     };
-    let limits = view.config.limits;
+    let limits = found.view.config.limits;
     let body = Limited::new(body, limits.body_bytes).collect();
-    let left = ask.patience.unwrap_or(route.timeout);
+    let left = ask.patience.unwrap_or(found.route.timeout);
     let body = match tokio::time::timeout(left, body).await {
         Ok(Ok(body)) => body.to_bytes(),
         failed => {
@@ -285,6 +285,10 @@
             return Err(status(code));
         }
     };
+    // The body may have taken long. A route that has gone meanwhile was there when the request came.
+    let view = host.core.borrow().view.clone();
+    let now = view.and_then(|view| find(view, &authority, head.uri.path()));
+    let Found { view, route } = now.unwrap_or(found);
     message::strip(&mut head.headers);
     let path = match head.uri.path_and_query() {
         Some(path) => Uri::from(path.clone()),
@@ -308,6 +312,18 @@
     })
 }
 
+/// The route of a request, and the picture that has it.
+struct Found {
+    view: Arc<View>,
+    route: Arc<Route>,
+}
+
+/// The route for `path` at the host that the caller names.
+fn find(view: Arc<View>, authority: &str, path: &str) -> Option<Found> {
+    let route = view.config.route(authority, path)?.clone();
+    Some(Found { view, route })
+}
+
 /// Puts a request into the log that was answered without being sent anywhere.
 fn turned_away<D, S>(host: &Host<D, S>, ask: &Ask, why: &'static str)
 where
--- a/crates/lentillift-gateway/tests/ages.rs
+++ b/crates/lentillift-gateway/tests/ages.rs
@@ -14,6 +14,7 @@
 use common::introduce;
 use common::item;
 use common::listener;
+use common::read_message;
 use common::run;
 use common::serve;
 use common::singles;
@@ -305,3 +306,33 @@
         assert!(answer.ends_with("first"), "{answer}");
     });
 }
+
+/// A caller sends the body of its search slowly, and meanwhile the index is cut anew. The search went to the shards of
+/// the time when its head came.
+#[test]
+fn a_search_goes_to_the_shards_of_the_time_when_it_is_complete() {
+    run(async {
+        let old = backend(vec![Act::Write(whole("old old old old!"))]).await;
+        let new = backend(vec![Act::Write(whole("new new new new!"))]).await;
+        let published = |shard: &str, server: &Backend, revision: u64| {
+            let entry = format!("{shard} {} a", server.address);
+            let items = [
+                item("config", shard.to_owned()),
+                item(&format!("b-{shard}"), entry),
+            ];
+            items.map(|item| Item { revision, ..item }).to_vec()
+        };
+        let served = serve(published("s1", &old, 1)).await;
+        let mut caller = TcpStream::connect(served.front).await.expect("connected");
+        let head =
+            "POST /all/x HTTP/1.1\r\nHost: search.example\r\nx-id: i\r\nContent-Length: 4\r\n\r\n";
+        caller.write_all(head.as_bytes()).await.expect("written");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let items = published("s2", &new, 2);
+        let news = News::Changes { revision: 2, items };
+        served.host.learn(Some(news), Duration::ZERO);
+        caller.write_all(b"body").await.expect("written");
+        let answer = read_message(&mut caller).await.expect("an answer");
+        assert!(answer.ends_with("new new new new!"), "{answer}");
+    });
+}
