Test what admits requests and what hurries a search for an origin

Tables of the two decisions, without network or clock: the burst that waits for a host which stood still, a service that is away or back, and a lost origin with and without time for a vain try. No decision changes.

--- a/crates/lentillift-fleet/tests/follow.rs
+++ b/crates/lentillift-fleet/tests/follow.rs
@@ -3,6 +3,7 @@
 use lentillift_core::id;
 use lentillift_core::time::Time;
 use lentillift_fleet::follow;
+use lentillift_fleet::follow::Admission;
 use lentillift_fleet::follow::Candidate;
 use lentillift_fleet::follow::FAN;
 use lentillift_fleet::follow::Options;
@@ -10,6 +11,7 @@
 use lentillift_fleet::follow::search::Left;
 use lentillift_fleet::follow::search::Next;
 use lentillift_fleet::follow::search::Search;
+use lentillift_fleet::follow::search::Urgency;
 use lentillift_fleet::follow::way::MOST;
 use lentillift_fleet::follow::way::Refused;
 use lentillift_fleet::follow::way::Way;
@@ -422,6 +424,43 @@
     assert_eq!(OPTIONS.next_watch(Duration::ZERO), OPTIONS.watch());
 }
 
+/// A burst of requests waits in the sockets of a host that stood still. Those that it answers before it has heard
+/// the news go by what was replaced; those that it holds while nobody can know more wait for nothing.
+macro_rules! admits {
+    ($($name:ident: $age:expr, $away:expr => $admission:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let millis = Duration::from_millis;
+            let away: Option<u64> = $away;
+            assert_eq!(OPTIONS.admit(millis($age), away.map(millis)), $admission);
+        }
+    )*};
+}
+
+admits! {
+    fresh_knowledge_serves: 20, None => Admission::Serve;
+    knowledge_within_the_bound_serves: 3000, None => Admission::Serve;
+    a_host_that_stood_still_waits_for_news: 3001, None => Admission::Await(OPTIONS.frame());
+    old_knowledge_serves_while_the_service_is_away: 60_000, Some(800) => Admission::Serve;
+    old_knowledge_waits_once_the_service_is_back: 60_000, Some(3001) => Admission::Await(OPTIONS.frame());
+}
+
+/// A host loses its origin when there is no time left for a vain try of another host.
+macro_rules! hurries {
+    ($($name:ident: $age:expr => $urgency:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(OPTIONS.urgency($age), $urgency);
+        }
+    )*};
+}
+
+hurries! {
+    a_host_that_starts_asks_other_hosts_first: None => Urgency::Low;
+    there_is_time_for_one_vain_try: Some(OPTIONS.stale() - OPTIONS.open()) => Urgency::Low;
+    there_is_no_time_for_a_vain_try: Some(OPTIONS.stale() - OPTIONS.open() + TICK) => Urgency::High;
+}
+
 /// What is published goes from host to host over their links. When one host sent a copy to each of its
 /// failure domain, the last waited for as many copies as there are hosts: callers there were answered by a
 /// configuration that had been replaced seconds before. Metrics showed the links of these hosts full while
