Make a call again that timed out while the host stood still

The reader of the service stands still, and when it runs again its watch has timed out.

A call that fails later than it can while the process runs is now made again at once, and says nothing of the service.

Before: a_call_that_timed_out_while_the_host_stood_still_is_made_again failed (the old server was asked); now it passes.

--- a/crates/lentillift-gateway/src/feed/service.rs
+++ b/crates/lentillift-gateway/src/feed/service.rs
@@ -18,6 +18,10 @@
 use lentillift_scatter::source::News;
 use std::time::Duration;
 use tracing::info;
+use tracing::warn;
+
+/// Time that opening a connection and a busy processor may add to a call.
+const HELD_UP: Duration = Duration::from_secs(1);
 
 /// Longest pause of the service while everything is read.
 const READ_SILENCE: Duration = Duration::from_secs(2);
@@ -33,8 +37,13 @@
         if is_over(host, &Origin::Service, until) {
             return Left::Again;
         }
+        let asked = host.now();
         let (news, age) = match ask(host).await {
             Ok(told) => told,
+            Err(error) if host.now().saturating_sub(asked) > longest(host) => {
+                warn!(event = "origin", origin = "service", %error, "stood still during a call");
+                return Left::Again;
+            }
             Err(error) => return Left::Failed(error),
         };
         let quiet = matches!(&news, News::Changes { items, .. } if items.is_empty());
@@ -47,6 +56,18 @@
     }
 }
 
+/// Time after which a call to the service that fails has timed out by itself, while this process ran.
+///
+/// One that fails later was held up here, as while the host stood still, which says nothing of the service. Taken
+/// for its failure, it would have callers served by old knowledge as if nobody could know more.
+fn longest<D, S>(host: &Host<D, S>) -> Duration
+where
+    D: Dialect,
+    S: Source,
+{
+    host.news.watch() + host.news.slack() + HELD_UP
+}
+
 /// What there is to know beyond what is known here, and how old it is.
 async fn ask<D, S>(host: &Host<D, S>) -> Result<(News, Duration)>
 where
--- a/crates/lentillift-gateway/tests/ages.rs
+++ b/crates/lentillift-gateway/tests/ages.rs
@@ -17,6 +17,7 @@
 use common::read_message;
 use common::run;
 use common::serve;
+use common::serve_from;
 use common::singles;
 use common::whole;
 use lentillift_fleet::follow;
@@ -26,6 +27,8 @@
 use lentillift_gateway::listen;
 use lentillift_scatter::source::Item;
 use lentillift_scatter::source::News;
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -280,6 +283,34 @@
     });
 }
 
+/// The reader of the service stood still, and a call of its own timed out meanwhile. Taken for a service that is away,
+/// this had it serve by what it knew.
+#[test]
+fn a_call_that_timed_out_while_the_host_stood_still_is_made_again() {
+    run(async {
+        let first = backend(vec![Act::Write(whole("first"))]).await;
+        let second = backend(vec![Act::Write(whole("second"))]).await;
+        let source = Memory {
+            is_silent: Rc::new(Cell::new(true)),
+            news: Rc::new(RefCell::new(Some(missed(&second)))),
+            ..Memory::default()
+        };
+        let served = serve_from(singles(&[first.address]), source).await;
+        tokio::task::spawn_local(feed::follow(served.host.clone()));
+        let is_outdated = || {
+            served
+                .host
+                .age()
+                .is_some_and(|age| age > served.host.news.bound)
+        };
+        while !is_outdated() {
+            tokio::time::sleep(LOOK).await;
+        }
+        let answer = ask(served.front, &get("/one/x", "i")).await;
+        assert!(answer.ends_with("second"), "{answer}");
+    });
+}
+
 /// The service is away for all. Nobody can know more, and callers are served by what there is, without a wait.
 #[test]
 fn a_host_serves_by_old_knowledge_while_the_service_is_away() {
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -45,6 +45,7 @@
 use lentillift_scatter::source::Meaning;
 use lentillift_scatter::source::News;
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -111,6 +112,10 @@
     pub lag: Duration,
     /// When the last answer left.
     pub left: Rc<Cell<Option<Instant>>>,
+    /// Whether the next watch is never answered.
+    pub is_silent: Rc<Cell<bool>>,
+    /// What the next watch that is answered tells.
+    pub news: Rc<RefCell<Option<News>>>,
 }
 
 impl Memory {
@@ -143,6 +148,12 @@
         _silence: Duration,
     ) -> Result<Watched> {
         self.turn_away()?;
+        if self.is_silent.replace(false) {
+            std::future::pending::<()>().await;
+        }
+        if let Some(news) = self.news.take() {
+            return Ok(Watched::Changes(news));
+        }
         tokio::time::sleep(wait).await;
         self.leave().await;
         Ok(Watched::Changes(News::Changes {
@@ -267,8 +278,13 @@
 
 /// Serves callers by `items`, which may be none yet.
 pub async fn serve(items: Vec<Item>) -> Served {
+    serve_from(items, Memory::default()).await
+}
+
+/// The same with a source to read.
+pub async fn serve_from(items: Vec<Item>, source: Memory) -> Served {
     let (listener, front) = listener().await;
-    let host = host("h", "a", front, Memory::default());
+    let host = host("h", "a", front, source);
     if !items.is_empty() {
         host.learn(Some(News::All { revision: 1, items }), Duration::ZERO);
     }
