--- a/crates/lentillift-gateway/tests/ages.rs
+++ b/crates/lentillift-gateway/tests/ages.rs
@@ -266,19 +266,22 @@
     }
 }
 
+/// The answer to a request that comes shortly before the news.
+async fn ask_before_news(served: &Served, news: News) -> String {
+    let front = served.front;
+    let answer = tokio::task::spawn_local(async move { ask(front, &get("/one/x", "i")).await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    served.host.learn(Some(news), Duration::ZERO);
+    answer.await.expect("an answer")
+}
+
 /// A process stands still for longer than news may take. When it runs again, requests wait in its sockets beside
 /// the news that it missed; answered first, they go by what was replaced meanwhile.
 #[test]
 fn a_host_that_stood_still_hears_the_news_before_it_serves() {
     run(async {
         let (served, _first, second) = outdated().await;
-        let answer = tokio::task::spawn_local({
-            let front = served.front;
-            async move { ask(front, &get("/one/x", "i")).await }
-        });
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        served.host.learn(Some(missed(&second)), Duration::ZERO);
-        let answer = answer.await.expect("an answer");
+        let answer = ask_before_news(&served, missed(&second)).await;
         assert!(answer.ends_with("second"), "{answer}");
     });
 }
@@ -317,13 +320,7 @@
     run(async {
         let (served, _first, second) = outdated().await;
         served.host.note_away(Duration::ZERO);
-        let answer = tokio::task::spawn_local({
-            let front = served.front;
-            async move { ask(front, &get("/one/x", "i")).await }
-        });
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        served.host.learn(Some(missed(&second)), Duration::ZERO);
-        let answer = answer.await.expect("an answer");
+        let answer = ask_before_news(&served, missed(&second)).await;
         assert!(answer.ends_with("first"), "{answer}");
     });
 }
