--- a/crates/lentillift-fleet/src/follow/proof.rs
+++ b/crates/lentillift-fleet/src/follow/proof.rs
@@ -22,10 +22,10 @@
     asked: Time,
 }
 
-/// Whether a message of an origin was asked for.
+/// What to do after a message of an origin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Heard {
-    /// It answers a question, or another question is under way: there is nothing to do.
+    /// Nothing: it answers a question, or another question is under way.
     Answer,
     /// It came by itself. Asked now, the origin proves that what it tells is fresh.
     Ask,
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -287,8 +287,8 @@
     };
     // The body may have taken long. A route that has gone meanwhile was there when the request came.
     let view = host.core.borrow().view.clone();
-    let now = view.and_then(|view| find(view, &authority, head.uri.path()));
-    let Found { view, route } = now.unwrap_or(found);
+    let latest = view.and_then(|view| find(view, &authority, head.uri.path()));
+    let Found { view, route } = latest.unwrap_or(found);
     message::strip(&mut head.headers);
     let path = match head.uri.path_and_query() {
         Some(path) => Uri::from(path.clone()),
