--- a/review/standin/src/daemon.rs
+++ b/review/standin/src/daemon.rs
@@ -51,7 +51,8 @@
     child: Child,
     /// Its address for callers.
     pub front: SocketAddr,
-    ready: SocketAddr,
+    /// Its address for questions whether it is ready.
+    pub ready: SocketAddr,
     log: PathBuf,
 }
 
