Check which request a reply names before anything else in it

Cause: `reply_class` believed "not run" and "misdirected" before it compared the id of the reply with that of the request. The late second copy of another request's rejection arrived where the reply was due, and counted as this request's own. Ruled out: the same id sent again on the same connection.

A reply now counts for a request only if it names it, whatever else it says. One that names none proves nothing either: servers repeat the id in all replies. Each such reply is logged with both ids and what it claimed, and counted in lentillift_gateway_foreign_replies_total, so that a wrong reply can be told from a lost one.

--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -3,6 +3,10 @@
 //! A reply may be truncated, belong to another request, lack a signature, or be re-encoded by an
 //! intermediary. Forwarded, it would look like a valid answer to the caller. Each of these cases is
 //! detected here and counts as a lost reply; the caller gets another server's reply, or an error.
+//!
+//! A faulty server sends a reply a second time, and the copy arrives where the reply to the next
+//! request on the connection is expected. If it is that of a rejection and counted, the next request
+//! would be sent again although it runs. Only the id tells the two apart, so it is checked first.
 
 use crate::dialect::Dialect;
 use crate::dialect::Executed;
@@ -25,6 +29,7 @@
 use lentillift_scatter::server::Server;
 use std::time::Duration;
 use tracing::info;
+use tracing::warn;
 
 /// Time that a reply may arrive after the server's own deadline.
 const REPLY_SLACK: Duration = Duration::from_millis(30);
@@ -83,7 +88,7 @@
     let may_send = || host.core.borrow().may_send(server, host.now()) && !is_withheld();
     let exchange = host.pool.exchange(server, kind, request, may_send);
     match tokio::time::timeout(remaining + REPLY_SLACK, exchange).await {
-        Ok(Ok(response)) => classify(&host.dialect, message, response),
+        Ok(Ok(response)) => classify(host, server, message, response),
         Ok(Err(Failure::Unsent(_))) if is_withheld() => {
             ExchangeResult::without(Outcome::Withheld, "request became suspect before the send")
         }
@@ -124,12 +129,18 @@
 }
 
 /// Classifies a reply.
-fn classify<D>(dialect: &D, message: &Message, response: Response<Bytes>) -> ExchangeResult
+fn classify<D, S>(
+    host: &Host<D, S>,
+    server: &Server,
+    message: &Message,
+    response: Response<Bytes>,
+) -> ExchangeResult
 where
     D: Dialect,
+    S: Source,
 {
     let (head, body) = response.into_parts();
-    let info = dialect.parse_reply(&head);
+    let info = host.dialect.parse_reply(&head);
     let response = Response::from_parts(head, body);
     match reply_class(&info, message, &response) {
         ReplyClass::Misdirected => {
@@ -139,12 +150,37 @@
             Outcome::Rejected { load: info.load },
             "rejected before it ran",
         ),
+        ReplyClass::Foreign(reason) => {
+            record_foreign_reply(host, server, message, &info, reason);
+            ExchangeResult::without(Outcome::Broken, reason)
+        }
         ReplyClass::Unusable(reason) => ExchangeResult::without(Outcome::Broken, reason),
         ReplyClass::Failure => with_reply(Outcome::Failure { load: info.load }, info, response),
         ReplyClass::Part => with_reply(Outcome::Part { load: info.load }, info, response),
     }
 }
 
+/// Records a reply that does not name the request which waited for it.
+fn record_foreign_reply<D, S>(
+    host: &Host<D, S>,
+    server: &Server,
+    message: &Message,
+    info: &ReplyInfo,
+    reason: &'static str,
+) {
+    warn!(
+        event = "foreign reply",
+        id = %message.id,
+        backend = %server.entry.id,
+        service = %server.entry.service,
+        reply_id = info.id.as_deref().unwrap_or_default(),
+        executed = ?info.executed,
+        reason,
+        "reply of a backend server does not name the request that waited for it"
+    );
+    host.metrics.count(metric::FOREIGN_REPLIES, reason);
+}
+
 fn with_reply(outcome: Outcome, info: ReplyInfo, response: Response<Bytes>) -> ExchangeResult {
     let reason = match &outcome {
         Outcome::Part { .. } => "whole",
@@ -166,18 +202,27 @@
     Failure,
     NotRun,
     Misdirected,
+    /// It does not name the request, which may have run.
+    Foreign(&'static str),
     Unusable(&'static str),
 }
 
 fn reply_class(info: &ReplyInfo, message: &Message, response: &Response<Bytes>) -> ReplyClass {
+    // A reply proves nothing about a request that it does not name, not even that it did not run.
+    match &info.id {
+        Some(id) if *id != message.id => {
+            return ReplyClass::Foreign("reply to another request");
+        }
+        None if !message.id.is_empty() => {
+            return ReplyClass::Foreign("reply names no request");
+        }
+        _ => {}
+    }
     match info.executed {
         Executed::Misdirected => return ReplyClass::Misdirected,
         Executed::No => return ReplyClass::NotRun,
         Executed::Maybe => {}
     }
-    if info.id.as_ref().is_some_and(|id| *id != message.id) {
-        return ReplyClass::Unusable("reply to another request");
-    }
     if response.headers().contains_key(header::CONTENT_ENCODING) {
         return ReplyClass::Unusable("reply encoded in transit");
     }
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -20,6 +20,9 @@
 /// Counter of backend servers that ended while they had a request of this host.
 pub const SERVERS_ENDED: &str = "lentillift_gateway_servers_ended_total";
 
+/// Counter of backend servers' replies that did not name the request that waited, by reason.
+pub const FOREIGN_REPLIES: &str = "lentillift_gateway_foreign_replies_total";
+
 /// Counter of changes of quarantine records, by new state.
 pub const QUARANTINE_CHANGES: &str = "lentillift_gateway_quarantine_changes_total";
 
--- a/crates/lentillift-gateway/tests/actions.rs
+++ b/crates/lentillift-gateway/tests/actions.rs
@@ -82,18 +82,20 @@
     /// rejected the action: it may still run.
     silent_until_the_end: Reaction::Hang => 504, [1, 0];
     /// The reply is truncated.
-    cut_reply: Reaction::WriteAndClose("HTTP/1.1 200 OK\r\nx-signature: s\r\nContent-Length: 9\r\n\r\nhalf".to_owned())
+    cut_reply: Reaction::WriteAndClose("HTTP/1.1 200 OK\r\nx-signature: s\r\nx-id: ID\r\nContent-Length: 9\r\n\r\nhalf".to_owned())
         => 502, [1, 0];
     /// An intermediary answers 503 without the header by which a server states that the action did
     /// not run, so it may have run.
     unsigned_refusal: unsigned("503 Service Unavailable") => 502, [1, 0];
+    /// As above, with the id of the action.
+    unsigned_refusal_with_an_id: unsigned("503 Service Unavailable\r\nx-id: ID") => 502, [1, 0];
     /// The server itself reports a failure: the action has run.
-    signed_failure: Reaction::Write("HTTP/1.1 500 Oops\r\nx-signature: s\r\nContent-Length: 0\r\n\r\n".to_owned())
+    signed_failure: Reaction::Write("HTTP/1.1 500 Oops\r\nx-signature: s\r\nx-id: ID\r\nContent-Length: 0\r\n\r\n".to_owned())
         => 500, [1, 0];
     /// The server is full and states that the action did not run.
-    turned_away: unsigned("503 Full\r\nx-not-run: 1") => 200, [1, 1];
+    turned_away: unsigned("503 Full\r\nx-not-run: 1\r\nx-id: ID") => 200, [1, 1];
     /// The address belongs to another server by now, which did not run the action.
-    misdirected: unsigned("421 Misdirected") => 200, [1, 1];
+    misdirected: unsigned("421 Misdirected\r\nx-id: ID") => 200, [1, 1];
 }
 
 /// The first server's port is closed, so nothing was sent, and the second server runs the action.
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod crashing;
+pub mod doubling;
 
 use http::HeaderMap;
 use http::StatusCode;
--- a/crates/lentillift-gateway/tests/front.rs
+++ b/crates/lentillift-gateway/tests/front.rs
@@ -20,7 +20,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-const TRUNCATED: &str = "HTTP/1.1 200 OK\r\nx-signature: s\r\nContent-Length: 100\r\n\r\nhalf";
+const TRUNCATED: &str =
+    "HTTP/1.1 200 OK\r\nx-signature: s\r\nx-id: ID\r\nContent-Length: 100\r\n\r\nhalf";
 
 macro_rules! replies {
     ($($(#[$doc:meta])* $name:ident: $path:expr, $first:expr, $second:expr => $status:expr, $body:expr;)*) => {$(
@@ -62,11 +63,11 @@
         Reaction::Write("HTTP/1.1 200 OK\r\nx-signature: s\r\nx-id: other\r\nContent-Length: 2\r\n\r\nno".to_owned()),
         reply("yes") => 502, "";
     /// An intermediary answered in place of the server.
-    unsigned_reply: "/once/x", Reaction::Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno".to_owned()),
+    unsigned_reply: "/once/x", Reaction::Write("HTTP/1.1 200 OK\r\nx-id: ID\r\nContent-Length: 2\r\n\r\nno".to_owned()),
         reply("yes") => 502, "";
     /// An intermediary compressed the reply, which was not requested.
     encoded_reply: "/once/x",
-        Reaction::Write("HTTP/1.1 200 OK\r\nx-signature: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno".to_owned()),
+        Reaction::Write("HTTP/1.1 200 OK\r\nx-signature: s\r\nx-id: ID\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno".to_owned()),
         reply("yes") => 502, "";
     /// The server sends bytes that are not an HTTP reply.
     malformed_reply: "/once/x", closing("\u{1}\u{2}rubbish\r\n\r\n"), reply("yes") => 502, "";
@@ -80,19 +81,19 @@
         reply("yes") => 502, "";
     /// The server reports that an action failed, which is the caller's answer.
     failure_of_an_action: "/once/x",
-        Reaction::Write("HTTP/1.1 500 Oops\r\nx-signature: s\r\nContent-Length: 2\r\n\r\nno".to_owned()),
+        Reaction::Write("HTTP/1.1 500 Oops\r\nx-signature: s\r\nx-id: ID\r\nContent-Length: 2\r\n\r\nno".to_owned()),
         reply("yes") => 500, "no";
     /// The server fails an idempotent request; the other server serves it.
     failure_of_a_query: "/one/x",
-        Reaction::Write("HTTP/1.1 500 Oops\r\nx-signature: s\r\nContent-Length: 2\r\n\r\nno".to_owned()),
+        Reaction::Write("HTTP/1.1 500 Oops\r\nx-signature: s\r\nx-id: ID\r\nContent-Length: 2\r\n\r\nno".to_owned()),
         reply("yes") => 200, "yes";
     /// A full server rejects an action: it did not run, so the other server may run it.
     rejected_action: "/once/x",
-        Reaction::Write("HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()),
+        Reaction::Write("HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-id: ID\r\nContent-Length: 0\r\n\r\n".to_owned()),
         reply("yes") => 200, "yes";
     /// The address now belongs to another server, which did not run the action.
     misdirected_action: "/once/x",
-        Reaction::Write("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n".to_owned()),
+        Reaction::Write("HTTP/1.1 421 Misdirected\r\nx-id: ID\r\nContent-Length: 0\r\n\r\n".to_owned()),
         reply("yes") => 200, "yes";
 }
 
@@ -101,7 +102,8 @@
 #[test]
 fn refused_action() {
     run(async {
-        let full = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n".to_owned();
+        let full =
+            "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-id: ID\r\nContent-Length: 0\r\n\r\n".to_owned();
         let first = backend(vec![Reaction::Write(full.clone())]).await;
         let second = backend(vec![Reaction::Write(full)]).await;
         let served = serve(single_service(&[first.address, second.address])).await;
--- a/crates/lentillift-gateway/tests/hosts.rs
+++ b/crates/lentillift-gateway/tests/hosts.rs
@@ -127,7 +127,8 @@
 #[test]
 fn a_part_that_failed_at_another_host_is_missing() {
     run(async {
-        let failure = "HTTP/1.1 500 Oops\r\nx-signature: s\r\nContent-Length: 0\r\n\r\n";
+        let failure =
+            "HTTP/1.1 500 Oops\r\nx-signature: s\r\nx-id: ID\r\nContent-Length: 0\r\n\r\n";
         let mut reactions = ['a', 'b', 'c', 'd', 'e'].map(record);
         reactions[2] = Reaction::Write(failure.to_owned());
         let items = shards(reactions).await;
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -110,6 +110,10 @@
         "lentillift_gateway_followers",
         "Hosts that learn from this one what is published.",
     ),
+    (
+        "lentillift_gateway_foreign_replies_total",
+        "Replies of backend servers that did not name the request that waited for them, by reason.",
+    ),
     (
         "lentillift_gateway_hosts",
         "Hosts that may be at work, this one included.",
