Close a connection after a reply that is not its request's

Nothing repeated that must not, but each was work for nothing.

Cause: the pool took a connection back as idle as soon as a reply was complete, before anybody knew whose reply it was. After the second copy of a reply the connection is one reply behind, and every later request on it gets the reply of the one before.

The pool now hands the connection out with the reply, and it is released by whoever knows that the reply belongs to the request. Dropped, it is closed.

Test: a_connection_with_a_late_copy_is_not_used_again failed before (the third request got 502, 200 expected). The server of the test is one reply late after a second copy, since the library closes an idle connection by itself if the delayed reply has already arrived.

--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -14,6 +14,7 @@
 use crate::host::Host;
 use crate::message::Message;
 use crate::metric;
+use crate::pool::Connection;
 use crate::pool::Failure;
 use crate::source::Source;
 use bytes::Bytes;
@@ -88,7 +89,7 @@
     let may_send = || host.core.borrow().may_send(server, host.now()) && !is_withheld();
     let exchange = host.pool.exchange(server, kind, request, may_send);
     match tokio::time::timeout(remaining + REPLY_SLACK, exchange).await {
-        Ok(Ok(response)) => classify(host, server, message, response),
+        Ok(Ok((response, connection))) => classify(host, server, message, response, connection),
         Ok(Err(Failure::Unsent(_))) if is_withheld() => {
             ExchangeResult::without(Outcome::Withheld, "request became suspect before the send")
         }
@@ -128,12 +129,13 @@
     ExchangeResult::without(Outcome::ServerEnded, "server ended")
 }
 
-/// Classifies a reply.
+/// Classifies a reply, and releases its connection if the reply belongs to the request.
 fn classify<D, S>(
     host: &Host<D, S>,
     server: &Server,
     message: &Message,
     response: Response<Bytes>,
+    connection: Connection,
 ) -> ExchangeResult
 where
     D: Dialect,
@@ -142,7 +144,11 @@
     let (head, body) = response.into_parts();
     let info = host.dialect.parse_reply(&head);
     let response = Response::from_parts(head, body);
-    match reply_class(&info, message, &response) {
+    let class = reply_class(&info, message, &response);
+    if !matches!(class, ReplyClass::Foreign(_)) {
+        host.pool.release(connection);
+    }
+    match class {
         ReplyClass::Misdirected => {
             ExchangeResult::without(Outcome::Misdirected, "address belongs to another server")
         }
--- a/crates/lentillift-gateway/src/pool.rs
+++ b/crates/lentillift-gateway/src/pool.rs
@@ -73,6 +73,18 @@
     keep_alive: Duration,
 }
 
+/// A connection whose exchange is complete, until it is returned to its pool.
+///
+/// Dropped, it is closed. That is the right end for one that is out of step: on it, every further
+/// request would run and get the reply of an earlier one.
+#[derive(Debug)]
+pub struct Connection {
+    backend: id::Backend,
+    sender: Sender,
+    /// Idle time for which it may be kept; none if the server closes it.
+    keep_alive: Option<Duration>,
+}
+
 /// Idle connections to all backend servers.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -94,6 +106,8 @@
     /// Sends a request and reads the complete reply. Nothing is sent if `may_send` returns false
     /// once a connection is ready.
     ///
+    /// The connection is to be [released](Self::release) if the reply belongs to the request.
+    ///
     /// # Errors
     ///
     /// The variant states whether the server may have received any of the request.
@@ -103,7 +117,7 @@
         kind: Kind,
         mut request: Request<Full<Bytes>>,
         may_send: F,
-    ) -> Result<Response<Bytes>, Failure>
+    ) -> Result<(Response<Bytes>, Connection), Failure>
     where
         F: Fn() -> bool,
     {
@@ -125,7 +139,7 @@
                 return Err(Failure::Unsent("send withdrawn while connecting"));
             }
             match sender.try_send_request(request).await {
-                Ok(response) => return self.finish(backend, sender, response).await,
+                Ok(response) => return read_reply(backend, sender, response).await,
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if !is_new => request = unsent,
                     Some(_) => return Err(Failure::Unsent("connection closed before the request")),
@@ -186,22 +200,11 @@
         Ok(sender)
     }
 
-    async fn finish(
-        &self,
-        backend: &id::Backend,
-        sender: Sender,
-        response: Response<hyper::body::Incoming>,
-    ) -> Result<Response<Bytes>, Failure> {
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
-        let body = body.map_err(|e| match e.is::<http_body_util::LengthLimitError>() {
-            true => Failure::Broken("reply too large"),
-            false => Failure::Cut("reply cut off"),
-        })?;
-        if is_persistent(&head.headers) {
-            self.put_idle(backend, sender, keep_alive_time(&head.headers));
+    /// Keeps a connection for later requests, unless its server closes it.
+    pub fn release(&self, connection: Connection) {
+        if let Some(keep_alive) = connection.keep_alive {
+            self.put_idle(&connection.backend, connection.sender, keep_alive);
         }
-        Ok(Response::from_parts(head, body.to_bytes()))
     }
 
     fn put_idle(&self, backend: &id::Backend, sender: Sender, keep: Duration) {
@@ -236,6 +239,26 @@
     let _ = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
 }
 
+/// Reads the rest of a reply.
+async fn read_reply(
+    backend: &id::Backend,
+    sender: Sender,
+    response: Response<hyper::body::Incoming>,
+) -> Result<(Response<Bytes>, Connection), Failure> {
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
+    let body = body.map_err(|e| match e.is::<http_body_util::LengthLimitError>() {
+        true => Failure::Broken("reply too large"),
+        false => Failure::Cut("reply cut off"),
+    })?;
+    let connection = Connection {
+        backend: backend.clone(),
+        sender,
+        keep_alive: is_persistent(&head.headers).then(|| keep_alive_time(&head.headers)),
+    };
+    Ok((Response::from_parts(head, body.to_bytes()), connection))
+}
+
 /// Classifies an error that ended an exchange after its request was sent.
 fn reply_failure(error: &hyper::Error) -> Failure {
     match error.is_parse() {
--- a/crates/lentillift-gateway/tests/common/doubling.rs
+++ b/crates/lentillift-gateway/tests/common/doubling.rs
@@ -1,4 +1,4 @@
-//! Backend servers that send some rejections a second time, late.
+//! Backend servers that send some replies a second time, late.
 
 use super::complete_reply;
 use super::header;
@@ -11,14 +11,30 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+/// A rejection, with `ID` in place of the request's id.
+const REJECTION: &str =
+    "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-id: ID\r\nContent-Length: 0\r\n\r\n";
+
 /// What a doubling server does with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
     /// Rejects it without running it.
     Reject,
-    /// As [`Step::Reject`], and sends the rejection again once it has read the next request on the
-    /// connection, before it replies to that one.
+    /// As [`Step::Reject`], and sends the rejection again in place of the reply to the next request
+    /// on the connection, which is delayed by one request from then on.
     RejectTwice,
+    /// Runs it once, and sends the reply again in the same way.
+    RunAndReplyTwice,
+}
+
+impl Step {
+    fn runs(self) -> bool {
+        self == Self::RunAndReplyTwice
+    }
+
+    fn repeats_reply(self) -> bool {
+        matches!(self, Self::RejectTwice | Self::RunAndReplyTwice)
+    }
 }
 
 /// A backend server that takes its steps in order, across all connections, and runs all further
@@ -59,25 +75,25 @@
 }
 
 async fn serve_connection(mut stream: TcpStream, state: Rc<State>) {
-    let mut late_copy = String::new();
+    let mut replies = VecDeque::new();
     while let Some(request) = read_message(&mut stream).await {
         let id = header(&request, "x-id").unwrap_or_default();
         let step = state.steps.borrow_mut().pop_front();
-        let reply = match step {
-            Some(_) => "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-id: ID\r\nContent-Length: 0\r\n\r\n"
-                .to_owned(),
-            None => complete_reply("done"),
+        let runs = step.is_none_or(Step::runs);
+        let reply = match runs {
+            true => complete_reply("done"),
+            false => REJECTION.to_owned(),
         };
         let reply = reply.replace("ID", &id);
-        if step.is_none() {
+        if runs {
             state.runs.borrow_mut().push(id);
         }
-        let replies = format!("{late_copy}{reply}");
-        late_copy = match step {
-            Some(Step::RejectTwice) => reply,
-            _ => String::new(),
-        };
-        if stream.write_all(replies.as_bytes()).await.is_err() {
+        if step.is_some_and(Step::repeats_reply) {
+            replies.push_back(reply.clone());
+        }
+        replies.push_back(reply);
+        let next = replies.pop_front().expect("a reply");
+        if stream.write_all(next.as_bytes()).await.is_err() {
             return;
         }
     }
--- a/crates/lentillift-gateway/tests/doubled.rs
+++ b/crates/lentillift-gateway/tests/doubled.rs
@@ -43,6 +43,21 @@
     });
 }
 
+/// Guards against a connection that stays one reply behind, on which each later request runs and
+/// gets the reply of the one before.
+#[test]
+fn a_connection_with_a_late_copy_is_not_used_again() {
+    run(async {
+        let server = DoublingServer::start(&[Step::RunAndReplyTwice]).await;
+        let served = serve(single_service(&[server.address])).await;
+        for (id, expected) in [("first", 200), ("second", 502), ("third", 200)] {
+            let answer = send_request(served.front, &get("/once/x", id)).await;
+            assert_eq!(status(&answer), expected, "{id}: {answer}");
+        }
+        assert_eq!(server.runs(), ["first", "second", "third"]);
+    });
+}
+
 /// Sends a request while the first of two servers replies with the rejection; checks the status
 /// that the caller gets, and how many requests each server received.
 macro_rules! unidentified_rejection {
