Never send a request again on a connection that rejected it

Callers of an action saw it run twice, or were told "not run" although it ran.

Cause: a rejected request waits and is sent to the same server again, on the connection used last, which is the one that rejected it. If a late second copy of that rejection is on its way there, it carries the very id that is expected, and counts as a second rejection of a request that now runs.

A request remembers the connections on which it was rejected and uses others for its further sends; a new one is opened if no other is idle. The memory ends with the request. Ruled out: a new connection for every retry, since a server that is full resets connections beyond its limit; closing connections after rejections, for the same reason; a memory of ids on the connection, which would need a bound or a time.

Test: an_action_is_not_sent_again_on_the_connection_that_rejected_it failed before (the server ran the action twice).

--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -68,11 +68,7 @@
 impl BranchReply {
     fn without(outcome: Outcome, reason: &'static str) -> Self {
         Self {
-            result: ExchangeResult {
-                outcome,
-                reply: None,
-                reason,
-            },
+            result: ExchangeResult::without(outcome, reason),
             merged: None,
             pending: None,
         }
@@ -182,11 +178,7 @@
         BranchReply {
             merged: Some(merged),
             pending: (!progress.last).then_some(self),
-            result: ExchangeResult {
-                outcome: Outcome::Branch(progress),
-                reply: None,
-                reason: "told",
-            },
+            result: ExchangeResult::without(Outcome::Branch(progress), "told"),
         }
     }
 }
--- a/crates/lentillift-gateway/src/dispatch.rs
+++ b/crates/lentillift-gateway/src/dispatch.rs
@@ -7,6 +7,8 @@
 use crate::exchange;
 use crate::host::Host;
 use crate::message::Message;
+use crate::pool::ConnectionId;
+use crate::pool::Requirement;
 use crate::source::Source;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -73,6 +75,7 @@
     send: Send,
     message: Rc<Message>,
     authority: Rc<str>,
+    rejected_on: Vec<ConnectionId>,
 ) -> Completion
 where
     D: Dialect,
@@ -84,7 +87,11 @@
     let hop = Hop::of(&send.target, &host.domain);
     let reply = match &send.target {
         Target::Server(server) => {
-            let result = exchange::exchange(&host, server, route.kind, &message, &send).await;
+            let requirement = Requirement {
+                kind: route.kind,
+                rejected_on: &rejected_on,
+            };
+            let result = exchange::exchange(&host, server, requirement, &message, &send).await;
             BranchReply {
                 result,
                 merged: None,
--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -15,7 +15,9 @@
 use crate::message::Message;
 use crate::metric;
 use crate::pool::Connection;
+use crate::pool::ConnectionId;
 use crate::pool::Failure;
+use crate::pool::Requirement;
 use crate::source::Source;
 use bytes::Bytes;
 use http::Request;
@@ -24,7 +26,6 @@
 use http::header;
 use http_body_util::Full;
 use lentillift_fleet::quarantine::Verdict;
-use lentillift_scatter::config::Kind;
 use lentillift_scatter::outcome::Outcome;
 use lentillift_scatter::outcome::Send;
 use lentillift_scatter::server::Server;
@@ -53,14 +54,25 @@
     pub reply: Option<Reply>,
     /// Reason for the outcome, for the log.
     pub reason: &'static str,
+    /// The connection on which the server rejected the request, if it did.
+    pub rejected_on: Option<ConnectionId>,
 }
 
 impl ExchangeResult {
-    fn without(outcome: Outcome, reason: &'static str) -> Self {
+    /// A result without a reply that can be used.
+    pub fn without(outcome: Outcome, reason: &'static str) -> Self {
         Self {
             outcome,
             reply: None,
             reason,
+            rejected_on: None,
+        }
+    }
+
+    fn rejected(outcome: Outcome, reason: &'static str, connection: ConnectionId) -> Self {
+        Self {
+            rejected_on: Some(connection),
+            ..Self::without(outcome, reason)
         }
     }
 }
@@ -69,7 +81,7 @@
 pub async fn exchange<D, S>(
     host: &Host<D, S>,
     server: &Server,
-    kind: Kind,
+    requirement: Requirement<'_>,
     message: &Message,
     send: &Send,
 ) -> ExchangeResult
@@ -87,7 +99,7 @@
         .set_target_headers(request.headers_mut(), backend, remaining);
     let is_withheld = || is_withheld(host, message, send);
     let may_send = || host.core.borrow().may_send(server, host.now()) && !is_withheld();
-    let exchange = host.pool.exchange(server, kind, request, may_send);
+    let exchange = host.pool.exchange(server, requirement, request, may_send);
     match tokio::time::timeout(remaining + REPLY_SLACK, exchange).await {
         Ok(Ok((response, connection))) => classify(host, server, message, response, connection),
         Ok(Err(Failure::Unsent(_))) if is_withheld() => {
@@ -145,17 +157,20 @@
     let info = host.dialect.parse_reply(&head);
     let response = Response::from_parts(head, body);
     let class = reply_class(&info, message, &response);
+    let id = connection.id();
     if !matches!(class, ReplyClass::Foreign(_)) {
         host.pool.release(connection);
     }
     match class {
-        ReplyClass::Misdirected => {
-            ExchangeResult::without(Outcome::Misdirected, "address belongs to another server")
-        }
-        ReplyClass::NotRun => ExchangeResult::without(
-            Outcome::Rejected { load: info.load },
-            "rejected before it ran",
+        ReplyClass::Misdirected => ExchangeResult::rejected(
+            Outcome::Misdirected,
+            "address belongs to another server",
+            id,
         ),
+        ReplyClass::NotRun => {
+            let outcome = Outcome::Rejected { load: info.load };
+            ExchangeResult::rejected(outcome, "rejected before it ran", id)
+        }
         ReplyClass::Foreign(reason) => {
             record_foreign_reply(host, server, message, &info, reason);
             ExchangeResult::without(Outcome::Broken, reason)
@@ -199,6 +214,7 @@
             signature: info.signature,
         }),
         reason,
+        rejected_on: None,
     }
 }
 
--- a/crates/lentillift-gateway/src/pool.rs
+++ b/crates/lentillift-gateway/src/pool.rs
@@ -63,12 +63,22 @@
 /// The server's port is closed.
 const REFUSED: Failure = Failure::Unsent("connection refused");
 
+/// Number of a connection, unique within its pool.
+pub type ConnectionId = u64;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// An open connection.
+#[derive(Debug)]
+struct Open {
+    id: ConnectionId,
+    sender: Sender,
+}
+
 /// An idle connection.
 #[derive(Debug)]
 struct Idle {
-    sender: Sender,
+    open: Open,
     since: Instant,
     keep_alive: Duration,
 }
@@ -80,11 +90,28 @@
 #[derive(Debug)]
 pub struct Connection {
     backend: id::Backend,
-    sender: Sender,
+    open: Open,
     /// Idle time for which it may be kept; none if the server closes it.
     keep_alive: Option<Duration>,
 }
 
+impl Connection {
+    /// Number of the connection.
+    pub fn id(&self) -> ConnectionId {
+        self.open.id
+    }
+}
+
+/// What a request needs of a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Requirement<'a> {
+    /// How often the request may run.
+    pub kind: Kind,
+    /// Connections on which the same request was rejected. A late copy of the rejection could
+    /// arrive on them, and its id would not tell it from the reply to the request.
+    pub rejected_on: &'a [ConnectionId],
+}
+
 /// Idle connections to all backend servers.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -114,7 +141,7 @@
     pub async fn exchange<F>(
         &self,
         server: &Server,
-        kind: Kind,
+        requirement: Requirement<'_>,
         mut request: Request<Full<Bytes>>,
         may_send: F,
     ) -> Result<(Response<Bytes>, Connection), Failure>
@@ -123,13 +150,13 @@
     {
         let backend = &server.entry.id;
         loop {
-            let idle = self.take_idle(backend, kind);
+            let idle = self.take_idle(backend, requirement);
             let is_new = idle.is_none();
-            let mut sender = match idle {
-                Some(sender) => sender,
+            let mut open = match idle {
+                Some(open) => open,
                 None => self.open(server.entry.address).await?,
             };
-            if sender.ready().await.is_err() {
+            if open.sender.ready().await.is_err() {
                 if is_new {
                     return Err(Failure::Unsent("connection closed at once"));
                 }
@@ -138,8 +165,8 @@
             if !may_send() {
                 return Err(Failure::Unsent("send withdrawn while connecting"));
             }
-            match sender.try_send_request(request).await {
-                Ok(response) => return read_reply(backend, sender, response).await,
+            match open.sender.try_send_request(request).await {
+                Ok(response) => return read_reply(backend, open, response).await,
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if !is_new => request = unsent,
                     Some(_) => return Err(Failure::Unsent("connection closed before the request")),
@@ -149,18 +176,25 @@
         }
     }
 
-    /// Takes the most recently used idle connection that the server should still keep open.
-    /// Requests that must run at most once use it for only half of that time.
-    fn take_idle(&self, backend: &id::Backend, kind: Kind) -> Option<Sender> {
+    /// Takes the most recently used idle connection that meets the requirement and that the server
+    /// should still keep open. Requests that must run at most once use it for only half of that
+    /// time.
+    fn take_idle(&self, backend: &id::Backend, requirement: Requirement<'_>) -> Option<Open> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(backend)?;
-        while let Some(last) = kept.pop() {
-            let keep = match kind {
+        let mut end = kept.len();
+        while let Some(index) = end.checked_sub(1) {
+            end = index;
+            if requirement.rejected_on.contains(&kept[index].open.id) {
+                continue;
+            }
+            let last = kept.remove(index);
+            let keep = match requirement.kind {
                 Kind::Idempotent => last.keep_alive,
                 Kind::Once => last.keep_alive / 2,
             };
-            if !last.sender.is_closed() && last.since.elapsed() < keep {
-                return Some(last.sender);
+            if !last.open.sender.is_closed() && last.since.elapsed() < keep {
+                return Some(last.open);
             }
         }
         None
@@ -172,8 +206,8 @@
     pub async fn is_refused(&self, server: &Server) -> bool {
         let opened = tokio::time::timeout(PROBE_TIMEOUT, self.open(server.entry.address)).await;
         match opened {
-            Ok(Ok(sender)) => {
-                self.put_idle(&server.entry.id, sender, DEFAULT_KEEP_ALIVE);
+            Ok(Ok(open)) => {
+                self.put_idle(&server.entry.id, open, DEFAULT_KEEP_ALIVE);
                 false
             }
             Ok(Err(failure)) => failure == REFUSED,
@@ -181,7 +215,7 @@
         }
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<Sender, Failure> {
+    async fn open(&self, address: SocketAddr) -> Result<Open, Failure> {
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = match connected {
             Ok(Ok(stream)) => stream,
@@ -189,7 +223,8 @@
             Ok(Err(_)) => return Err(Failure::Unsent("connection failed")),
             Err(_) => return Err(Failure::Unsent("connection timed out")),
         };
-        self.opened.set(self.opened.get() + 1);
+        let id = self.opened.get() + 1;
+        self.opened.set(id);
         set_socket_options(&stream);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| Failure::Unsent("handshake failed"))?;
@@ -197,19 +232,19 @@
             // An error also ends the exchange, which reports it.
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(Open { id, sender })
     }
 
     /// Keeps a connection for later requests, unless its server closes it.
     pub fn release(&self, connection: Connection) {
         if let Some(keep_alive) = connection.keep_alive {
-            self.put_idle(&connection.backend, connection.sender, keep_alive);
+            self.put_idle(&connection.backend, connection.open, keep_alive);
         }
     }
 
-    fn put_idle(&self, backend: &id::Backend, sender: Sender, keep: Duration) {
+    fn put_idle(&self, backend: &id::Backend, open: Open, keep: Duration) {
         let idle = Idle {
-            sender,
+            open,
             since: Instant::now(),
             keep_alive: keep,
         };
@@ -225,7 +260,7 @@
     {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|backend, kept| {
-            kept.retain(|one| !one.sender.is_closed() && one.since.elapsed() < one.keep_alive);
+            kept.retain(|one| !one.open.sender.is_closed() && one.since.elapsed() < one.keep_alive);
             !kept.is_empty() && is_published(backend)
         });
     }
@@ -242,7 +277,7 @@
 /// Reads the rest of a reply.
 async fn read_reply(
     backend: &id::Backend,
-    sender: Sender,
+    open: Open,
     response: Response<hyper::body::Incoming>,
 ) -> Result<(Response<Bytes>, Connection), Failure> {
     let (head, body) = response.into_parts();
@@ -253,7 +288,7 @@
     })?;
     let connection = Connection {
         backend: backend.clone(),
-        sender,
+        open,
         keep_alive: is_persistent(&head.headers).then(|| keep_alive_time(&head.headers)),
     };
     Ok((Response::from_parts(head, body.to_bytes()), connection))
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::part::Content;
 use crate::part::RequestResult;
 use crate::part::SendResult;
+use crate::pool::ConnectionId;
 use crate::source::Source;
 use futures_util::FutureExt;
 use futures_util::StreamExt;
@@ -54,6 +55,8 @@
     message: Rc<Message>,
     authority: Rc<str>,
     results: HashMap<SendId, SendResult>,
+    /// Connections on which a backend server rejected this request.
+    rejected_on: Vec<ConnectionId>,
     /// Retries and failures of this request so far, for the log.
     notes: String,
     /// Whether the request's result is decided, so that dropping this is not an abandonment.
@@ -136,6 +139,7 @@
             message,
             authority,
             results: HashMap::new(),
+            rejected_on: Vec::new(),
             notes: String::new(),
             finished: false,
         };
@@ -196,6 +200,7 @@
                 send,
                 self.message.clone(),
                 self.authority.clone(),
+                self.rejected_on.clone(),
             );
             self.in_flight.push(completion.boxed_local());
         }
@@ -299,6 +304,7 @@
             pending,
         } = reply;
         self.record_completion(&result, leg, hop, took);
+        self.rejected_on.extend(result.rejected_on);
         if let Some(pending) = pending {
             self.in_flight
                 .push(dispatch::next_answer(self.host.clone(), number, leg, pending).boxed_local());
--- a/crates/lentillift-gateway/tests/actions.rs
+++ b/crates/lentillift-gateway/tests/actions.rs
@@ -19,6 +19,7 @@
 use http_body_util::Full;
 use lentillift_gateway::host::Stage;
 use lentillift_gateway::pool::Failure;
+use lentillift_gateway::pool::Requirement;
 use lentillift_scatter::config::Kind;
 use lentillift_scatter::source::Update;
 use std::time::Duration;
@@ -193,7 +194,11 @@
         let server = &view.servers["s"][0];
         let request = Request::new(Full::default());
         let pool = &served.host.pool;
-        let ended = pool.exchange(server, Kind::Once, request, || false).await;
+        let requirement = Requirement {
+            kind: Kind::Once,
+            rejected_on: &[],
+        };
+        let ended = pool.exchange(server, requirement, request, || false).await;
         assert!(matches!(ended, Err(Failure::Unsent(_))), "{ended:?}");
         assert_eq!(requests(&mut backend), 0);
     });
--- a/crates/lentillift-gateway/tests/doubled.rs
+++ b/crates/lentillift-gateway/tests/doubled.rs
@@ -58,6 +58,19 @@
     });
 }
 
+/// Guards against an action that runs twice because it is sent again on the connection on which it
+/// was rejected, where the late second copy of the rejection carries its own id.
+#[test]
+fn an_action_is_not_sent_again_on_the_connection_that_rejected_it() {
+    run(async {
+        let server = DoublingServer::start(&[Step::RejectTwice]).await;
+        let served = serve(single_service(&[server.address])).await;
+        let answer = send_request(served.front, &get("/once/x", "i")).await;
+        assert_eq!(status(&answer), 200, "{answer}");
+        assert_eq!(server.runs(), ["i"]);
+    });
+}
+
 /// Sends a request while the first of two servers replies with the rejection; checks the status
 /// that the caller gets, and how many requests each server received.
 macro_rules! unidentified_rejection {
