Serve a branch request by the route of the host that asks

Cause: a branch request said which shards to ask, but not what the caller gets. The host that was asked took that from the route that its own configuration has for the path: the number of records, the objective (by which sends to servers are given up), and the name by which reply times are kept. One configuration behind, or ahead, that is another route. The host that asked could not tell.

Ruled out: the merge in the host that asks (it keeps the greatest records of what it has); parts of two versions (the services come from the host that asks); the host that stood still itself (the host that follows it merged).

The request now states the route: version, name, number of records and objective. The host that is asked takes nothing from a route of its own, so it serves a route that it does not know yet instead of declining, and counts in lentillift_gateway_branch_requests_total whether the host that asks has an older, the same or a newer configuration. What it keeps is its own knowledge of servers, evacuations and limits of services.

The format changed, so the path did (/v3/branch).

--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -10,11 +10,11 @@
 mod wire;
 
 use crate::dialect::Dialect;
+use crate::dispatch;
 use crate::exchange::ExchangeResult;
 use crate::frame;
 use crate::frame::Reader;
 use crate::host::Host;
-use crate::message::Message;
 use crate::quarantine;
 use crate::source::Source;
 use http::Request;
@@ -30,10 +30,34 @@
 use lentillift_scatter::report::Report;
 use tracing::info;
 use wire::Answer;
+use wire::RoutedRequest;
 use wire::SlowBackend;
 
 /// Path of branch requests.
-pub const PATH: &str = "/v2/branch";
+pub const PATH: &str = "/v3/branch";
+
+/// Path of branch requests in the previous format, which hosts of the previous release send.
+pub const PREVIOUS_PATH: &str = "/v2/branch";
+
+/// Format of a branch request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// States what the requesting host's route determines.
+    Routed,
+    /// Leaves the route to the host that is asked.
+    Previous,
+}
+
+impl Format {
+    /// Returns the format of the requests to `path`; none if they are not branch requests.
+    pub fn of(path: &str) -> Option<Self> {
+        match path {
+            PATH => Some(Self::Routed),
+            PREVIOUS_PATH => Some(Self::Previous),
+            _ => None,
+        }
+    }
+}
 
 /// Parts of several shards, merged by another host.
 #[derive(Debug, Default)]
@@ -76,13 +100,12 @@
 }
 
 /// Requests the legs of `send` from host `to`; returns its first answer.
-pub async fn request_branch<D, S>(
+pub(crate) async fn request_branch<D, S>(
     host: &Host<D, S>,
     to: &id::Host,
     send: Send,
     services: Vec<String>,
-    authority: &str,
-    message: &Message,
+    request: &dispatch::Request,
 ) -> BranchReply
 where
     D: Dialect,
@@ -92,6 +115,9 @@
     let Some(address) = address else {
         return BranchReply::without(Outcome::Unreachable, "host is unknown");
     };
+    let Some(route) = wire::Route::of(&request.route, request.config) else {
+        return BranchReply::without(Outcome::Unreachable, "route has no shards");
+    };
     let sent_at = host.now();
     let deadline = sent_at + send.timeout;
     let stamp = Stamp {
@@ -99,13 +125,19 @@
         incarnation: host.swim.borrow().own().incarnation,
         at: sent_at,
     };
-    let branch_request = wire::branch_request(&send, services, authority, message, &stamp);
-    let Ok(body) = frame::encode(&branch_request, to) else {
+    let dispatch::Request {
+        message, authority, ..
+    } = request;
+    let routed = RoutedRequest {
+        request: wire::branch_request(&send, services, authority, message, &stamp),
+        route,
+    };
+    let Ok(body) = frame::encode(&routed, to) else {
         return BranchReply::without(Outcome::Unreachable, "request can't be encoded");
     };
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = http::Method::POST;
-    *request.uri_mut() = http::Uri::from_static("http://host/v2/branch");
+    *request.uri_mut() = http::Uri::from_static("http://host/v3/branch");
     let result = tokio::time::timeout(send.timeout, host.peers.send(address, request)).await;
     let response = match result {
         Ok(Ok(response)) => response,
--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -1,13 +1,16 @@
 //! Serves branch requests: another host's request for shards that have replicas in this failure
 //! domain.
 
+use super::Format;
 use super::wire::Answer;
 use super::wire::BranchRequest;
+use super::wire::RoutedRequest;
 use super::wire::SlowBackend;
 use crate::dialect::Dialect;
 use crate::frame;
 use crate::host::Host;
 use crate::message::Message;
+use crate::metric;
 use crate::part::SendResult;
 use crate::quarantine::wire;
 use crate::run::Run;
@@ -19,6 +22,7 @@
 use lentillift_core::error::Step;
 use lentillift_core::id;
 use lentillift_core::time::Time;
+use lentillift_scatter::config::Route;
 use lentillift_scatter::config::Target;
 use lentillift_scatter::config::Version;
 use lentillift_scatter::delay;
@@ -27,7 +31,10 @@
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::record;
 use lentillift_scatter::switch::Mechanism;
+use lentillift_scatter::view::View;
+use std::cmp::Ordering;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tracing::info;
 
@@ -36,14 +43,28 @@
 /// # Errors
 ///
 /// When the request is malformed or can't be served here; in that case nothing was sent.
-pub fn answer<D, S>(host: &Rc<Host<D, S>>, body: &[u8]) -> Result<frame::Body>
+pub fn answer<D, S>(host: &Rc<Host<D, S>>, format: Format, body: &[u8]) -> Result<frame::Body>
 where
     D: Dialect,
     S: Source,
 {
-    let request: BranchRequest = frame::decode(body, "host")?;
+    let view = host.core.borrow().view.clone();
+    let view = view.ok_or_else(|| Error::new(Step::Check, "host", "no configuration yet"))?;
+    let (request, instructions) = match format {
+        Format::Routed => {
+            let routed: RoutedRequest = frame::decode(body, "host")?;
+            count_configuration(host, routed.route.config, &view);
+            let instructions = Instructions::from(&routed);
+            (routed.request, instructions)
+        }
+        Format::Previous => {
+            let request: BranchRequest = frame::decode(body, "host")?;
+            let instructions = Instructions::of_previous(&request, &view)?;
+            (request, instructions)
+        }
+    };
     let delay = check_delay(host, &request)?;
-    let branch = Branch::start(host, request, delay)?;
+    let branch = Branch::start(host, view, request, instructions, delay)?;
     Ok(frame::body(stream::unfold(
         branch,
         |mut branch| async move {
@@ -53,6 +74,55 @@
     )))
 }
 
+/// How to serve a branch request.
+struct Instructions {
+    route: Arc<Route>,
+    /// Maximum number of records in each answer.
+    max_records: usize,
+    /// Version of the configuration that the route is from.
+    config: Version,
+}
+
+impl From<&RoutedRequest> for Instructions {
+    fn from(routed: &RoutedRequest) -> Self {
+        Self {
+            route: Arc::new(routed.into()),
+            max_records: routed.route.max_records(),
+            config: routed.route.config,
+        }
+    }
+}
+
+impl Instructions {
+    /// Uses this host's route, since a request in the previous format states none. It may not be the
+    /// route of the requesting host, so every record is returned: that host merges the answers once
+    /// more, with the number that its caller wants.
+    fn of_previous(request: &BranchRequest, view: &View) -> Result<Self> {
+        let fail = |cause: &str| Error::new(Step::Check, &request.sender, cause);
+        let path = request.path.split('?').next().unwrap_or_default();
+        let route = view.config.route(&request.authority, path);
+        let route = route.ok_or_else(|| fail("unknown route"))?;
+        if matches!(route.target, Target::Split(_)) {
+            return Err(fail("route has no shards"));
+        }
+        Ok(Self {
+            route: route.clone(),
+            max_records: usize::MAX,
+            config: view.config.version,
+        })
+    }
+}
+
+/// Counts a branch request by whether the requesting host has the configuration of this one.
+fn count_configuration<D, S>(host: &Host<D, S>, requesting: Version, view: &View) {
+    let kind = match requesting.cmp(&view.config.version) {
+        Ordering::Less => "older",
+        Ordering::Equal => "same",
+        Ordering::Greater => "newer",
+    };
+    host.metrics.count(metric::BRANCH_REQUESTS, kind);
+}
+
 /// Estimates how long a request was delayed in transit, and declines one that was delayed so long
 /// that its caller may have left. Its cancellation would be delayed as well, and backend servers
 /// would do work that nobody uses.
@@ -81,11 +151,13 @@
     run: Run<D, S>,
     /// Time at which the first answer is due.
     first_answer_at: Time,
-    /// Number of records that the caller wants.
+    /// Maximum number of records in each answer.
     max_records: usize,
     /// Whether each shard's result was reported, by its index in the request.
     reported: Vec<bool>,
-    /// Version of the configuration that this host uses for the request.
+    /// Version of the configuration that the route is from.
+    requested_config: Version,
+    /// Version of this host's configuration.
     config: Version,
     /// Age of this host's published state when the request came.
     age: Duration,
@@ -96,17 +168,13 @@
     D: Dialect,
     S: Source,
 {
-    fn start(host: &Rc<Host<D, S>>, request: BranchRequest, delay: Duration) -> Result<Self> {
-        let fail = |cause: &str| Error::new(Step::Check, "host", cause);
-        let view = host.core.borrow().view.clone();
-        let view = view.ok_or_else(|| fail("no configuration yet"))?;
-        let path = request.path.split('?').next().unwrap_or_default();
-        let route = view.config.route(&request.authority, path).cloned();
-        let route = route.ok_or_else(|| fail("unknown route"))?;
-        let max_records = match &route.target {
-            Target::Scatter(scatter) => scatter.records,
-            Target::Split(_) => return Err(fail("route has no shards")),
-        };
+    fn start(
+        host: &Rc<Host<D, S>>,
+        view: Arc<View>,
+        request: BranchRequest,
+        instructions: Instructions,
+        delay: Duration,
+    ) -> Result<Self> {
         let message = Message::try_from(&request)?;
         let now = host.now();
         let services: Vec<id::Service> =
@@ -114,13 +182,14 @@
         let timeout = Duration::from_millis(request.timeout_ms.into());
         let deadline = now + timeout.saturating_sub(delay);
         let reported = vec![false; services.len()];
-        let plan = Plan::branch(&route, &view, services, now, deadline);
+        let plan = Plan::branch(&instructions.route, &view, services, now, deadline);
         let plan = plan.with_fingerprint(message.fingerprint);
         Ok(Self {
             run: Run::start(host, plan, Rc::new(message), request.authority.into()),
             first_answer_at: now + Duration::from_millis(request.first_answer_ms.into()),
-            max_records,
+            max_records: instructions.max_records,
             reported,
+            requested_config: instructions.config,
             config: view.config.version,
             age: host.age().unwrap_or_default(),
         })
@@ -211,6 +280,7 @@
                 failed = answer.failed.len(),
                 over,
                 config = self.config,
+                requested_config = self.requested_config,
                 age_ms = self.age.as_millis() as u64,
                 notes = self.run.notes(),
                 "branch request answered incompletely"
--- a/crates/lentillift-gateway/src/branch/wire.rs
+++ b/crates/lentillift-gateway/src/branch/wire.rs
@@ -11,12 +11,16 @@
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
 use lentillift_core::fingerprint::Fingerprint;
+use lentillift_scatter::config;
+use lentillift_scatter::config::Version;
 use lentillift_scatter::delay::Stamp;
 use lentillift_scatter::outcome::Send;
 use lentillift_scatter::report::Report;
 use std::time::Duration;
 
 /// Request to a host for shards near it: the caller's request and which services to send it to.
+///
+/// The previous format of a branch request has nothing else.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub(super) struct BranchRequest {
     pub(super) id: String,
@@ -39,6 +43,29 @@
     pub(super) timeout_ms: u32,
 }
 
+/// What the requesting host's route determines about a branch request.
+///
+/// The host that is asked may have another configuration, in which the path leads to another route
+/// or to none, so it takes nothing from a route of its own.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub(super) struct Route {
+    /// Version of the requesting host's configuration.
+    pub(super) config: u64,
+    /// Name of the route, by which reply times are kept.
+    pub(super) name: String,
+    /// Number of records in the caller's answer.
+    pub(super) max_records: u64,
+    /// Time within which the caller wants the answer, in microseconds.
+    pub(super) objective_us: u64,
+}
+
+/// Branch request with the route of the requesting host.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub(super) struct RoutedRequest {
+    pub(super) request: BranchRequest,
+    pub(super) route: Route,
+}
+
 /// One answer to a branch request; several may follow each other.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub(super) struct Answer {
@@ -101,6 +128,51 @@
     }
 }
 
+impl Route {
+    /// Describes `route` of the configuration `version`; none if it has no shards.
+    pub(super) fn of(route: &config::Route, version: Version) -> Option<Self> {
+        let config::Target::Scatter(scatter) = &route.target else {
+            return None;
+        };
+        Some(Self {
+            config: version,
+            name: route.name.to_string(),
+            max_records: scatter.records as u64,
+            objective_us: u64::try_from(route.objective.as_micros()).unwrap_or(u64::MAX),
+        })
+    }
+
+    /// Number of records to return.
+    pub(super) fn max_records(&self) -> usize {
+        usize::try_from(self.max_records).unwrap_or(usize::MAX)
+    }
+}
+
+impl From<&RoutedRequest> for config::Route {
+    /// The requesting host's route, limited to what it asks for: these shards, each sent once.
+    fn from(routed: &RoutedRequest) -> Self {
+        let RoutedRequest { request, route } = routed;
+        let shards = request
+            .services
+            .iter()
+            .map(|service| service.as_str().into());
+        Self {
+            name: route.name.as_str().into(),
+            host: request.authority.clone(),
+            prefix: "/".to_owned(),
+            target: config::Target::Scatter(config::Scatter {
+                shards: shards.collect(),
+                records: route.max_records(),
+                coverage: 0.0,
+            }),
+            kind: config::Kind::Idempotent,
+            attempts: 1,
+            timeout: Duration::from_millis(request.timeout_ms.into()),
+            objective: Duration::from_micros(route.objective_us),
+        }
+    }
+}
+
 /// Builds the branch request for a send of a caller's request, at the time of `stamp`.
 pub(super) fn branch_request(
     send: &Send,
--- a/crates/lentillift-gateway/src/dispatch.rs
+++ b/crates/lentillift-gateway/src/dispatch.rs
@@ -13,6 +13,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
 use lentillift_scatter::config::Route;
+use lentillift_scatter::config::Version;
 use lentillift_scatter::leg::Target;
 use lentillift_scatter::outcome::Send;
 use lentillift_scatter::replica::SendId;
@@ -67,15 +68,27 @@
 /// Sends in flight.
 pub(crate) type InFlight = FuturesUnordered<LocalBoxFuture<'static, Completion>>;
 
+/// What all sends of a request have in common.
+#[derive(Debug, Clone)]
+pub(crate) struct Request {
+    /// The route of the request.
+    pub(crate) route: Arc<Route>,
+    /// Version of the configuration that the route is from.
+    pub(crate) config: Version,
+    /// The request as it is forwarded.
+    pub(crate) message: Rc<Message>,
+    /// Authority that the caller named.
+    pub(crate) authority: Rc<str>,
+    /// Connections on which a backend server rejected the request.
+    pub(crate) rejected_on: Vec<ConnectionId>,
+}
+
 /// Makes one send and waits for its result, or for the first message of a host.
 pub(crate) async fn send_once<D, S>(
     host: Rc<Host<D, S>>,
-    route: Arc<Route>,
     services: Vec<String>,
     send: Send,
-    message: Rc<Message>,
-    authority: Rc<str>,
-    rejected_on: Vec<ConnectionId>,
+    request: Request,
 ) -> Completion
 where
     D: Dialect,
@@ -88,10 +101,11 @@
     let reply = match &send.target {
         Target::Server(server) => {
             let requirement = Requirement {
-                kind: route.kind,
-                rejected_on: &rejected_on,
+                kind: request.route.kind,
+                rejected_on: &request.rejected_on,
             };
-            let result = exchange::exchange(&host, server, requirement, &message, &send).await;
+            let message = &request.message;
+            let result = exchange::exchange(&host, server, requirement, message, &send).await;
             BranchReply {
                 result,
                 merged: None,
@@ -100,7 +114,7 @@
         }
         Target::Host { host: to, .. } => {
             let to = to.clone();
-            branch::request_branch(&host, &to, send, services, &authority, &message).await
+            branch::request_branch(&host, &to, send, services, &request).await
         }
     };
     let took = host.now().saturating_sub(started);
--- a/crates/lentillift-gateway/src/listen.rs
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -190,10 +190,10 @@
     S: Source,
 {
     let path = request.uri().path().to_owned();
-    if path == branch::PATH {
+    if let Some(format) = branch::Format::of(&path) {
         let body = http_body_util::Limited::new(request.into_body(), MAX_REQUEST_BYTES);
         let result = match body.collect().await {
-            Ok(body) => branch::answer::answer(&host, &body.to_bytes()),
+            Ok(body) => branch::answer::answer(&host, format, &body.to_bytes()),
             Err(e) => Err(Error::new(Step::Read, "host", e)),
         };
         return match result {
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -17,6 +17,10 @@
 /// Counter of sends, by kind of target.
 pub const SENDS: &str = "lentillift_gateway_sends_total";
 
+/// Counter of branch requests served, by whether the requesting host's configuration is older than
+/// this host's, the same, or newer.
+pub const BRANCH_REQUESTS: &str = "lentillift_gateway_branch_requests_total";
+
 /// Counter of backend servers that ended while they had a request of this host.
 pub const SERVERS_ENDED: &str = "lentillift_gateway_servers_ended_total";
 
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -195,17 +195,26 @@
             }
             let completion = dispatch::send_once(
                 self.host.clone(),
-                self.query.plan().route.clone(),
                 self.leg_services(&send),
                 send,
-                self.message.clone(),
-                self.authority.clone(),
-                self.rejected_on.clone(),
+                self.request(),
             );
             self.in_flight.push(completion.boxed_local());
         }
     }
 
+    /// What a send made now has in common with the others of this request.
+    fn request(&self) -> dispatch::Request {
+        let plan = self.query.plan();
+        dispatch::Request {
+            route: plan.route.clone(),
+            config: plan.view.config.version,
+            message: self.message.clone(),
+            authority: self.authority.clone(),
+            rejected_on: self.rejected_on.clone(),
+        }
+    }
+
     /// Adds a repeated send to the notes: its target, and the latency from which a reply counts as
     /// late at that time.
     fn note_repeat(&mut self, send: &Send) {
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -103,8 +103,9 @@
     }
 }
 
-/// Published state in memory. The value of key `config` lists the shards; that of any other key is
-/// `service address domain`.
+/// Published state in memory. The value of key `config` lists the shards, and may change route
+/// `/all/` by `records=N`, `objective=MS` or `one-service`; that of any other key is `service address
+/// domain`.
 #[derive(Debug, Default, Clone)]
 pub struct MemorySource {
     pub items: Vec<Item>,
@@ -198,28 +199,44 @@
     }
 }
 
+/// Value of the word `name=VALUE` in a configuration.
+fn option(words: &[&str], name: &str) -> Option<u64> {
+    let mut values = words.iter().filter_map(|word| word.strip_prefix(name));
+    let value = values.find_map(|rest| rest.strip_prefix('='));
+    value.map(|value| value.parse().expect("a number"))
+}
+
 /// Routes `/one/` (idempotent) and `/once/` (at most once) to service `s`, and `/all/` to all
 /// shards.
-fn config(shards: &[&str]) -> Config {
+fn config(words: &[&str]) -> Config {
+    let is_option = |word: &str| word.contains('=') || word == "one-service";
+    let shards: Vec<&str> = words.iter().copied().filter(|w| !is_option(w)).collect();
     let single = || {
         let service = "s".into();
         Target::Split(vec![Part { service, weight: 1 }])
     };
-    let all = Target::Scatter(Scatter {
-        shards: shards.iter().map(|s| (*s).into()).collect(),
-        records: 10,
-        coverage: 0.5,
-    });
+    let all = match words.contains(&"one-service") {
+        true => single(),
+        false => Target::Scatter(Scatter {
+            shards: shards.iter().map(|s| (*s).into()).collect(),
+            records: option(words, "records").unwrap_or(10) as usize,
+            coverage: 0.5,
+        }),
+    };
+    let mut all = route("all", all, Kind::Idempotent);
+    if let Some(ms) = option(words, "objective") {
+        all.objective = Duration::from_millis(ms);
+    }
     let routes = vec![
         route("one", single(), Kind::Idempotent),
         route("once", single(), Kind::Once),
-        route("all", all, Kind::Idempotent),
+        all,
     ];
     let service = Service {
         connections: 100,
         cold_rate: None,
     };
-    let names = shards.iter().copied().chain(["s"]);
+    let names = shards.into_iter().chain(["s"]);
     let services = names.map(|name| (name.into(), service.clone())).collect();
     let limits = Limits {
         head_bytes: 16384,
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -86,6 +86,10 @@
         "lentillift_gateway_backend_connections_opened",
         "Connections to backend servers opened since the start.",
     ),
+    (
+        "lentillift_gateway_branch_requests_total",
+        "Requests of other hosts for shards, by whether their configuration is older, the same or newer.",
+    ),
     (
         "lentillift_gateway_budget_left",
         "Repeated sends that the budgets of all services still allow this process now.",
