Decline shards of a service whose limits this host lacks

A host that serves a branch request may have an older configuration, which lacks a service of the request. It then assumed one connection and no limit for cold servers, so a server that has just started could get more requests than it can take.

It now declines such a shard, and the host that asks, which has the limits, asks a server directly.

Test: a_branch_host_declines_services_whose_limits_it_lacks failed before (both shards were sent).

--- a/crates/lentillift-scatter/src/query/first_sends.rs
+++ b/crates/lentillift-scatter/src/query/first_sends.rs
@@ -37,6 +37,9 @@
         let declines = core.options.switches.is_on(Mechanism::Declining);
         let legs = self.legs.iter();
         legs.map(|leg| {
+            if !self.has_limits(&leg.service) {
+                return None;
+            }
             let choice = core.choose(view, &leg.service, typical, now, is_local)?;
             // The host that sent this branch can go elsewhere at once, without a repeat. If the
             // request went to a server that is permanently slow, each would need a repeat, and the
@@ -49,6 +52,15 @@
         .collect()
     }
 
+    /// Whether the limits of a service are known, as far as a branch needs them.
+    ///
+    /// The host that sent the branch may have a newer configuration, with services that this one
+    /// lacks. Without limits, their cold servers would get more requests than they can take. That
+    /// host has the limits and can ask the servers directly.
+    pub(super) fn has_limits(&self, service: &id::Service) -> bool {
+        !self.plan.local_only || self.plan.view.config.services.contains_key(service)
+    }
+
     /// Makes the first sends: branches for many legs at once, direct sends for the others.
     pub(super) fn first_sends(
         &mut self,
--- a/crates/lentillift-scatter/tests/asked.rs
+++ b/crates/lentillift-scatter/tests/asked.rs
@@ -167,6 +167,27 @@
     assert!(!core.spend(&"s0".into(), START, Purpose::Answer));
 }
 
+/// Guards against more requests to a cold server than its service allows, from a branch host whose
+/// configuration lacks the service and so its limits.
+#[test]
+fn a_branch_host_declines_services_whose_limits_it_lacks() {
+    let (mut core, route) = pairs(2, 1.0);
+    let mut view = (*core.view.clone().expect("a view")).clone();
+    let mut config = (*view.config).clone();
+    config.services.remove("s1");
+    view.config = Arc::new(config);
+    core.adopt(view.clone());
+    let view = Arc::new(view);
+    let deadline = START + CALLER_TIMEOUT;
+    let plan = Plan::branch(&Arc::new(route), &view, service_names(2), START, deadline);
+    let (mut query, sends) = Query::start(&mut core, plan, START);
+    let legs: Vec<_> = sends.iter().flat_map(|send| &send.legs).collect();
+    assert_eq!(legs, [&0]);
+    assert!(query.tick(&mut core, START + MS * 500).is_empty());
+    let states: Vec<_> = query.states().collect();
+    assert_eq!(states, [State::Open, State::Declined]);
+}
+
 /// The local server of a branch host rejects a shard's request. The branch host does not repeat it,
 /// locally or elsewhere; the host that serves the caller does.
 #[test]
