Convert the shard names of a branch request once

The services were converted for the route and again for the plan of each branch request. Behaviour is kept; versions.rs, hosts.rs and releases.rs pass as before.

--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -77,6 +77,8 @@
 /// How to serve a branch request.
 struct Instructions {
     route: Arc<Route>,
+    /// Services to ask, one for each shard.
+    services: Vec<id::Service>,
     /// Maximum number of records in each answer.
     max_records: usize,
     /// Version of the configuration that the route is from.
@@ -85,8 +87,11 @@
 
 impl From<&RoutedRequest> for Instructions {
     fn from(routed: &RoutedRequest) -> Self {
+        let services = routed.request.services();
+        let route = routed.route.for_branch(&routed.request, &services);
         Self {
-            route: Arc::new(routed.into()),
+            route: Arc::new(route),
+            services,
             max_records: routed.route.max_records(),
             config: routed.route.config,
         }
@@ -107,6 +112,7 @@
         }
         Ok(Self {
             route: route.clone(),
+            services: request.services(),
             max_records: usize::MAX,
             config: view.config.version,
         })
@@ -177,19 +183,23 @@
     ) -> Result<Self> {
         let message = Message::try_from(&request)?;
         let now = host.now();
-        let services: Vec<id::Service> =
-            request.services.iter().map(|s| s.as_str().into()).collect();
+        let Instructions {
+            route,
+            services,
+            max_records,
+            config: requested_config,
+        } = instructions;
         let timeout = Duration::from_millis(request.timeout_ms.into());
         let deadline = now + timeout.saturating_sub(delay);
         let reported = vec![false; services.len()];
-        let plan = Plan::branch(&instructions.route, &view, services, now, deadline);
+        let plan = Plan::branch(&route, &view, services, now, deadline);
         let plan = plan.with_fingerprint(message.fingerprint);
         Ok(Self {
             run: Run::start(host, plan, Rc::new(message), request.authority.into()),
             first_answer_at: now + Duration::from_millis(request.first_answer_ms.into()),
-            max_records: instructions.max_records,
+            max_records,
             reported,
-            requested_config: instructions.config,
+            requested_config,
             config: view.config.version,
             age: host.age().unwrap_or_default(),
         })
--- a/crates/lentillift-gateway/src/branch/wire.rs
+++ b/crates/lentillift-gateway/src/branch/wire.rs
@@ -11,6 +11,7 @@
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
 use lentillift_core::fingerprint::Fingerprint;
+use lentillift_core::id;
 use lentillift_scatter::config;
 use lentillift_scatter::config::Version;
 use lentillift_scatter::delay::Stamp;
@@ -128,6 +129,16 @@
     }
 }
 
+impl BranchRequest {
+    /// The services, one for each shard.
+    pub(super) fn services(&self) -> Vec<id::Service> {
+        self.services
+            .iter()
+            .map(|name| name.as_str().into())
+            .collect()
+    }
+}
+
 impl Route {
     /// Describes `route` of the configuration `version`; none if it has no shards.
     pub(super) fn of(route: &config::Route, version: Version) -> Option<Self> {
@@ -142,35 +153,32 @@
         })
     }
 
-    /// Number of records to return.
-    pub(super) fn max_records(&self) -> usize {
-        usize::try_from(self.max_records).unwrap_or(usize::MAX)
-    }
-}
-
-impl From<&RoutedRequest> for config::Route {
-    /// The requesting host's route, limited to what it asks for: these shards, each sent once.
-    fn from(routed: &RoutedRequest) -> Self {
-        let RoutedRequest { request, route } = routed;
-        let shards = request
-            .services
-            .iter()
-            .map(|service| service.as_str().into());
-        Self {
-            name: route.name.as_str().into(),
+    /// The route as the host that is asked uses it: these shards, each sent once.
+    pub(super) fn for_branch(
+        &self,
+        request: &BranchRequest,
+        shards: &[id::Service],
+    ) -> config::Route {
+        config::Route {
+            name: self.name.as_str().into(),
             host: request.authority.clone(),
             prefix: "/".to_owned(),
             target: config::Target::Scatter(config::Scatter {
-                shards: shards.collect(),
-                records: route.max_records(),
+                shards: shards.into(),
+                records: self.max_records(),
                 coverage: 0.0,
             }),
             kind: config::Kind::Idempotent,
             attempts: 1,
             timeout: Duration::from_millis(request.timeout_ms.into()),
-            objective: Duration::from_micros(route.objective_us),
+            objective: Duration::from_micros(self.objective_us),
         }
     }
+
+    /// Number of records to return.
+    pub(super) fn max_records(&self) -> usize {
+        usize::try_from(self.max_records).unwrap_or(usize::MAX)
+    }
 }
 
 /// Builds the branch request for a send of a caller's request, at the time of `stamp`.
