Check the id of a reply at the product's own interface too

A late second copy of a rejection counted as the rejection of the next action on the connection, which is then sent again although it runs, and a late reply was passed to the caller of the next action.

Requests have had an `x-request-id` all along, but nothing said that servers repeat it. A reply without an id still counts as the request's own, so servers that don't repeat it are no worse off than before, and no better.

The client library can't close one connection after a complete reply.

The stand-in repeats the id.

--- a/crates/lentillift-backend/src/client.rs
+++ b/crates/lentillift-backend/src/client.rs
@@ -1,6 +1,7 @@
 //! Client that sends sub-requests to one backend server.
 
 use crate::connect;
+use crate::connect::Discards;
 use crate::connect::WriteTrackingConnector;
 use crate::reply;
 use crate::resolve::FixedResolver;
@@ -62,6 +63,7 @@
     /// would end the request of another process with the same ticket, whose answer would then miss
     /// a shard.
     sender: Arc<str>,
+    discards: Discards,
 }
 
 impl Client {
@@ -79,12 +81,11 @@
             .output_buffer_size(BUFFER_BYTES)
             .timeout_connect(Some(options.connect_timeout))
             .build();
+        let discards = Discards::default();
+        let connector = WriteTrackingConnector::new(discards.clone());
         Self {
-            agent: Agent::with_parts(
-                config,
-                WriteTrackingConnector::default(),
-                FixedResolver(address),
-            ),
+            agent: Agent::with_parts(config, connector, FixedResolver(address)),
+            discards,
             address,
             sender: sender.chars().map(sanitize).collect::<String>().into(),
         }
@@ -99,11 +100,12 @@
             Work::Search { .. } => "search",
             Work::Action { .. } => "action",
         };
+        let id = format!("{}-{ticket}", self.sender);
         let mut request = self
             .agent
             .post(format!("http://{}/v1/{path}", self.address))
             .header("content-type", "application/json")
-            .header("x-request-id", format!("{}-{ticket}", self.sender))
+            .header("x-request-id", &id)
             .header("x-deadline-ms", remaining.as_millis().to_string());
         request = match &sub.work {
             Work::Search { snapshot, shard } => request
@@ -114,6 +116,11 @@
         let request = request.config().timeout_global(Some(remaining)).build();
         let (sent, written) = connect::track_writes(|| request.send(&*sub.body));
         let (result, report) = match sent {
+            Ok(response) if names_another(&response, &id) => {
+                // Its contents and its report are of another time, if not of another server.
+                self.discards.discard();
+                (sub::Result::unknown(Failure::Malformed), Report::default())
+            }
             Ok(mut response) => {
                 let report = report(&response);
                 (result(&mut response, &sub.work, &report), report)
@@ -202,6 +209,13 @@
     }
 }
 
+/// Whether a reply belongs to another request than `id`, such as a late second copy of an earlier
+/// reply on the connection. A reply without an id counts as the request's own.
+fn names_another(response: &Response<ureq::Body>, id: &str) -> bool {
+    let named = response.headers().get("x-request-id");
+    named.is_some_and(|named| named != id)
+}
+
 /// Whether the backend server states that it did not run the request.
 fn is_not_run(response: &Response<ureq::Body>) -> bool {
     response
--- a/crates/lentillift-backend/src/connect.rs
+++ b/crates/lentillift-backend/src/connect.rs
@@ -7,6 +7,9 @@
 //! a dead backend server makes all requests "unknown". Recording the write itself avoids the guess.
 
 use std::cell::Cell;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use ureq::Error;
 use ureq::unversioned::transport::Buffers;
 use ureq::unversioned::transport::ConnectionDetails;
@@ -28,10 +31,40 @@
     (result, WRITTEN.get())
 }
 
+/// Number of times that the connections of a client were discarded; clones share it.
+///
+/// The client library keeps a connection after a complete reply, whichever request the reply
+/// belongs to. After a foreign one the connection is a reply behind, and the library can't be told
+/// to close it; connections that were opened before the last discard count as closed instead.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Discards(Arc<AtomicU64>);
+
+impl Discards {
+    /// Discards all connections that are open now. Requests in flight on them go on.
+    pub(crate) fn discard(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn count(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Opens TCP connections that record writes in [`WRITTEN`].
 #[derive(Debug, Default)]
 pub(crate) struct WriteTrackingConnector {
     tcp: TcpConnector,
+    discards: Discards,
+}
+
+impl WriteTrackingConnector {
+    /// Creates a connector whose connections `discards` ends.
+    pub(crate) fn new(discards: Discards) -> Self {
+        Self {
+            tcp: TcpConnector::default(),
+            discards,
+        }
+    }
 }
 
 impl Connector for WriteTrackingConnector {
@@ -42,34 +75,44 @@
         details: &ConnectionDetails<'_>,
         chained: Option<()>,
     ) -> Result<Option<Self::Out>, Error> {
+        let opened_after = self.discards.count();
         let transport = self.tcp.connect(details, chained)?;
-        Ok(transport.map(WriteTrackingTransport))
+        Ok(transport.map(|tcp| WriteTrackingTransport {
+            tcp,
+            discards: self.discards.clone(),
+            opened_after,
+        }))
     }
 }
 
 /// A connection that records writes in [`WRITTEN`].
 #[derive(Debug)]
-pub(crate) struct WriteTrackingTransport<T>(T);
+pub(crate) struct WriteTrackingTransport<T> {
+    tcp: T,
+    discards: Discards,
+    /// Number of discards before it was opened.
+    opened_after: u64,
+}
 
 impl<T> Transport for WriteTrackingTransport<T>
 where
     T: Transport,
 {
     fn buffers(&mut self) -> &mut dyn Buffers {
-        self.0.buffers()
+        self.tcp.buffers()
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
         // Recorded before the write, since a write that fails may have sent some bytes.
         WRITTEN.set(true);
-        self.0.transmit_output(amount, timeout)
+        self.tcp.transmit_output(amount, timeout)
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        self.0.await_input(timeout)
+        self.tcp.await_input(timeout)
     }
 
     fn is_open(&mut self) -> bool {
-        self.0.is_open()
+        self.opened_after == self.discards.count() && self.tcp.is_open()
     }
 }
--- a/crates/lentillift-backend/tests/contract.rs
+++ b/crates/lentillift-backend/tests/contract.rs
@@ -294,6 +294,44 @@
     assert!(received.lock().expect("lock").requests.is_empty());
 }
 
+/// Sends an action; the server answers with this head and body. Checks the result.
+macro_rules! foreign_reply {
+    ($($(#[$doc:meta])* $name:ident: $head:expr, $body:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let act = ServerAct::Answer($head, $body);
+            let (result, _) = send_to_server(&action(), act, Duration::from_secs(5));
+            assert_eq!(result, failed(Failure::Malformed, Unknown));
+        }
+    )*};
+}
+
+foreign_reply! {
+    /// Guards against an action that is sent again although it runs, because the late second copy
+    /// of another request's rejection counts as its own.
+    rejection_of_another_request: "503 Busy\r\nx-outcome: not-run\r\nx-request-id: other", "";
+    /// Guards against a caller that gets the reply to another action.
+    reply_to_another_request: "200 OK\r\nx-request-id: other", "done";
+}
+
+/// Guards against a connection that stays one reply behind, so that each later action runs without
+/// a result.
+#[test]
+fn a_connection_with_a_foreign_reply_is_not_used_again() {
+    let done = ServerAct::Answer("200 OK\r\nx-request-id: host-0.1f-2", "done");
+    let late = ServerAct::Answer("200 OK\r\nx-request-id: host-0.1f-0", "late");
+    // The first connection consumes the second act when it is closed.
+    let acts = vec![late, done, done];
+    let (address, received) = server(acts);
+    let client = client(address);
+    let (late, _) = client.send(1, &action(), Duration::from_secs(5));
+    assert_eq!(late, failed(Failure::Malformed, Unknown));
+    let (next, _) = client.send(2, &action(), Duration::from_secs(5));
+    assert_eq!(next, sub::Result::Reply(b"done".to_vec()));
+    assert_eq!(received.lock().expect("lock").connections, 2);
+}
+
 /// The server closes an idle connection while the next request is written to it. If the client
 /// library retried by itself, a request that the server had already read would run twice.
 #[test]
--- a/crates/lentillift-standin/src/backend.rs
+++ b/crates/lentillift-standin/src/backend.rs
@@ -112,7 +112,16 @@
         listener::serve(listener, Options::default(), stop, handler).await;
     }
 
+    /// Handles a request; the reply has the request's id.
     async fn handle(&self, request: &Request<Bytes>) -> Response<Bytes> {
+        let mut response = self.route(request).await;
+        if let Some(id) = request.headers().get("x-request-id") {
+            response.headers_mut().insert("x-request-id", id.clone());
+        }
+        response
+    }
+
+    async fn route(&self, request: &Request<Bytes>) -> Response<Bytes> {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/search") => self.search(request.headers()).await,
             (&Method::POST, "/v1/action") => self.action(request.headers()).await,
