Answer every request before the process exits

Cause: a stop ended in two ways that knew nothing of each other. The process exits 350 ms before the grace period is over; a request waits until its own deadline, which may be later. What still waited then was dropped.

Ruled out: connections that are closed while a request is on its way (the lost ones had been read up to four seconds before); a wait for the complete request (the record has the time of its last byte).

From SIGTERM on, every request is answered 200 ms before the process exits. The time bounds the query itself, so its decisions follow from it: a request that waits is refused as not run as soon as no server can reply in time, one that runs gets 504 at the end, a search the parts that it has, servers get no more time than is left, and branch requests of other hosts end in the same way. A request that waits for news is held no longer either.

--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -66,6 +66,10 @@
 /// polls readiness once a second and stops sending callers after two failed polls.
 const LEAVING_SHARE: f64 = 0.42;
 
+/// Time before the process exits by which its requests are answered, so that the answers still reach
+/// their callers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// Time before the end of the shutdown grace period at which the process exits by itself.
 const END_MARGIN: Duration = Duration::from_millis(350);
 
@@ -251,13 +255,15 @@
         followers: Cell::new(0),
         changed: watch::Sender::new(0),
         stage: watch::Sender::new(Stage::Serving),
+        answers_due: Cell::new(None),
     })
 }
 
 /// Shuts down without interrupting a request. First readiness fails so that no more callers are
 /// sent here, then connections without a request are closed, then the remaining requests are
-/// answered.
-async fn shut_down<D, S>(host: &Host<D, S>, socket: &UdpSocket, grace: Duration)
+/// answered: without this, a request that waits for a backend server would be cut when the process
+/// exits, although it certainly did not run.
+pub async fn shut_down<D, S>(host: &Host<D, S>, socket: &UdpSocket, grace: Duration)
 where
     D: Dialect,
     S: Source,
@@ -268,12 +274,12 @@
         "leaving"
     );
     let started = host.now();
-    host.stage.send_replace(Stage::Leaving);
+    let deadline = started + grace.saturating_sub(END_MARGIN);
+    host.leave(deadline.saturating_sub(ANSWER_MARGIN));
     let effects = host.swim.borrow_mut().leave();
     member::apply_effects(host, socket, effects);
     tokio::time::sleep(grace.mul_f64(LEAVING_SHARE)).await;
     host.stage.send_replace(Stage::Closing);
-    let deadline = started + grace.saturating_sub(END_MARGIN);
     while host.caller_connections.get() > 0 && host.now() < deadline {
         tokio::time::sleep(HOUSEKEEPING_PERIOD / 5).await;
     }
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -30,6 +30,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use lentillift_core::fingerprint::Fingerprint;
+use lentillift_core::time::Time;
 use lentillift_scatter::caller::Caller;
 use lentillift_scatter::config::Limits;
 use lentillift_scatter::config::Route;
@@ -258,7 +259,9 @@
     let (mut head, body) = request.into_parts();
     let info = host.dialect.parse_request(&head);
     let limit = info.timeout.unwrap_or(DEFAULT_TIMEOUT) / 2;
-    host.catch_up(limit).await;
+    let due = host.answers_due.get().unwrap_or(Time::MAX);
+    host.catch_up(limit.min(due.saturating_sub(host.now())))
+        .await;
     let view = host.core.borrow().view.clone();
     let Some(view) = view else {
         log_turned_away(host, &info, "no configuration yet");
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -120,6 +120,9 @@
     pub changed: watch::Sender<u64>,
     /// Lifecycle stage of this process.
     pub stage: watch::Sender<Stage>,
+    /// Time by which every request is to be answered, because this process ends soon after; none
+    /// while no end is planned.
+    pub answers_due: Cell<Option<Time>>,
 }
 
 impl<D, S> std::fmt::Debug for Host<D, S> {
@@ -138,6 +141,13 @@
         self.clock.now()
     }
 
+    /// Begins to shut down: readiness fails, and requests that can't be answered by `answers_due`
+    /// are no longer waited for.
+    pub fn leave(&self, answers_due: Time) {
+        self.answers_due.set(Some(answers_due));
+        self.stage.send_replace(Stage::Leaving);
+    }
+
     /// Whether `mechanism` is switched on.
     pub fn is_on(&self, mechanism: Mechanism) -> bool {
         self.core.borrow().options.switches.is_on(mechanism)
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::InFlight;
 use crate::exchange::ExchangeResult;
 use crate::host::Host;
+use crate::host::Stage;
 use crate::message::Message;
 use crate::metric;
 use crate::part::Content;
@@ -33,6 +34,7 @@
 use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tracing::info;
 
 /// Limit on the notes that are logged for one request, in bytes. Checked before each note, so the
@@ -59,6 +61,8 @@
     rejected_on: Vec<ConnectionId>,
     /// Retries and failures of this request so far, for the log.
     notes: String,
+    /// Lifecycle stage of this process.
+    stage: watch::Receiver<Stage>,
     /// Whether the request's result is decided, so that dropping this is not an abandonment.
     finished: bool,
 }
@@ -127,6 +131,10 @@
         message: Rc<Message>,
         authority: Rc<str>,
     ) -> Self {
+        let mut plan = plan;
+        if let Some(due) = host.answers_due.get() {
+            plan.end_by(due);
+        }
         let (query, sends) = {
             let mut core = host.core.borrow_mut();
             let now = host.now();
@@ -141,6 +149,7 @@
             results: HashMap::new(),
             rejected_on: Vec::new(),
             notes: String::new(),
+            stage: host.stage.subscribe(),
             finished: false,
         };
         run.launch(sends);
@@ -272,7 +281,8 @@
         self.finished = true;
     }
 
-    /// Waits until a send completes, a timer of the query expires, or the time reaches `until`.
+    /// Waits until a send completes, a timer of the query expires, the time reaches `until`, or the
+    /// stage of this process changes.
     pub async fn step(&mut self, until: Time) {
         let now = self.host.now();
         let until = until.min(self.query.next_wakeup(now));
@@ -285,6 +295,14 @@
                 }
             }
             () = tokio::time::sleep(wait) => self.tick(now + wait),
+            Ok(()) = self.stage.changed() => self.hasten(),
+        }
+    }
+
+    /// Limits the request's time if this process is about to end.
+    fn hasten(&mut self) {
+        if let Some(due) = self.host.answers_due.get() {
+            self.query.end_by(due);
         }
     }
 
--- a/crates/lentillift-scatter/src/plan.rs
+++ b/crates/lentillift-scatter/src/plan.rs
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Requires an answer by `end`, as when this process ends then.
+    pub fn end_by(&mut self, end: Time) {
+        self.deadline = self.deadline.min(end);
+        self.soft_deadline = self.soft_deadline.min(end);
+    }
+
     /// Sets the fingerprint of the request's content.
     pub fn with_fingerprint(self, fingerprint: Fingerprint) -> Self {
         Self {
--- a/crates/lentillift-scatter/src/query.rs
+++ b/crates/lentillift-scatter/src/query.rs
@@ -121,6 +121,12 @@
         &self.plan
     }
 
+    /// Requires an answer by `end`: parts that can't come until then are not waited for, and no
+    /// further send is made that could not be answered.
+    pub fn end_by(&mut self, end: Time) {
+        self.plan.end_by(end);
+    }
+
     /// Returns the number of sends that were made as repeats.
     pub fn repeats(&self) -> u32 {
         self.repeats
