Read only so many bytes before a reply's head is complete

Cause: the HTTP library reads and drops interim replies for as long as bytes come. All requests of a host share one thread.

Ruled out, by tests that passed before: a head, a status line, header lines, chunk extensions and trailers without end. The library bounds each of them; only the sequence of interim replies has no bound.

A connection now reads 64 KiB at most from the start of a request until its reply's head is complete. Then it stops reading, the send counts as broken, and the connection is closed. The library's read buffer is limited to the same size, which was some 400 KiB for each connection.

Tests: endless.rs, nine floods; interim_replies failed before (the host read all 64 MiB), the others passed.

--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod feed_wire;
 pub mod frame;
 pub mod front;
+pub mod head_limit;
 pub mod host;
 pub mod listen;
 pub mod local;
--- a/crates/lentillift-gateway/src/pool.rs
+++ b/crates/lentillift-gateway/src/pool.rs
@@ -6,13 +6,15 @@
 //! therefore dropped before the server's idle timeout, and well before it for requests that must
 //! run at most once.
 
+use crate::head_limit::HeadLimit;
+use crate::head_limit::Limited;
+use crate::head_limit::MAX_HEAD_BYTES;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use lentillift_core::id;
@@ -73,6 +75,7 @@
 struct Open {
     id: ConnectionId,
     sender: Sender,
+    head: HeadLimit,
 }
 
 /// An idle connection.
@@ -165,7 +168,14 @@
             if !may_send() {
                 return Err(Failure::Unsent("send withdrawn while connecting"));
             }
-            match open.sender.try_send_request(request).await {
+            open.head.start();
+            let sent = tokio::select! {
+                biased;
+                sent = open.sender.try_send_request(request) => sent,
+                () = open.head.exceeded() => return Err(Failure::Broken("reply head too large")),
+            };
+            open.head.end();
+            match sent {
                 Ok(response) => return read_reply(backend, open, response).await,
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if !is_new => request = unsent,
@@ -226,13 +236,18 @@
         let id = self.opened.get() + 1;
         self.opened.set(id);
         set_socket_options(&stream);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let head = HeadLimit::default();
+        let stream = TokioIo::new(Limited::new(stream, head.clone()));
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(stream)
+            .await;
         let (sender, connection) = handshake.map_err(|_| Failure::Unsent("handshake failed"))?;
         tokio::task::spawn_local(async move {
             // An error also ends the exchange, which reports it.
             let _ = connection.await;
         });
-        Ok(Open { id, sender })
+        Ok(Open { id, sender, head })
     }
 
     /// Keeps a connection for later requests, unless its server closes it.
@@ -281,7 +296,9 @@
     response: Response<hyper::body::Incoming>,
 ) -> Result<(Response<Bytes>, Connection), Failure> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
+    let body = http_body_util::Limited::new(body, MAX_REPLY_BYTES)
+        .collect()
+        .await;
     let body = body.map_err(|e| match e.is::<http_body_util::LengthLimitError>() {
         true => Failure::Broken("reply too large"),
         false => Failure::Cut("reply cut off"),
