Bound the memory of replies that are being read

A daemon took 102 MB while a server sent a body in chunks of four bytes to 24 callers (the users' trial; 7 MB without it), and a machine has 260 MB: some hundred such exchanges would end the process, and with it every request.

Each chunk was kept as a buffer of its own, with 32 bytes of bookkeeping and a share in the connection's read buffer, until 8 MiB of data were counted. And nothing limited all replies together: each alone could have its 8 MiB.

A body is now read into one buffer. All replies that are being read share 32 MiB, and none may hold more than what is still free: a single one gets its 8 MiB, hundreds of endless ones are cut at some 60 KB each, and that much is left for a sound server's reply. (Choudhury and Hahne's rule for the shared buffers of switches.) The gauge lentillift_gateway_reply_bytes shows the use.

--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -343,6 +343,7 @@
         let registry = &host.metrics;
         registry.gauge(metric::OPENED, host.pool.opened() as f64);
         registry.gauge(metric::IDLE, host.pool.idle() as f64);
+        registry.gauge(metric::REPLY_BYTES, host.pool.reply_bytes() as f64);
         let age = host.age().map_or(-1.0, |age| age.as_secs_f64());
         registry.gauge(metric::AGE, age);
         let lag = host.core.borrow().lag.mean();
--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod peer;
 pub mod pool;
 pub mod quarantine;
+pub mod reply_memory;
 mod request_log;
 pub mod run;
 pub mod source;
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -48,6 +48,9 @@
 /// Gauge of idle connections to backend servers.
 pub const IDLE: &str = "lentillift_gateway_backend_connections_idle";
 
+/// Gauge of the bytes of backend servers' replies that are being read.
+pub const REPLY_BYTES: &str = "lentillift_gateway_reply_bytes";
+
 /// Gauge of hosts that may be serving, this one included.
 pub const HOSTS: &str = "lentillift_gateway_hosts";
 
--- a/crates/lentillift-gateway/src/pool.rs
+++ b/crates/lentillift-gateway/src/pool.rs
@@ -9,12 +9,16 @@
 use crate::head_limit::HeadLimit;
 use crate::head_limit::Limited;
 use crate::head_limit::MAX_HEAD_BYTES;
+use crate::reply_memory::Growth;
+use crate::reply_memory::ReplyMemory;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use lentillift_core::id;
@@ -51,6 +55,9 @@
 /// Largest reply, in bytes. A larger one would take memory that other requests need.
 const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Memory for all replies that are being read, in bytes.
+const REPLY_MEMORY_BYTES: usize = 32 * 1024 * 1024;
+
 /// Why an exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -115,11 +122,52 @@
     pub rejected_on: &'a [ConnectionId],
 }
 
+/// Memory that one reply holds; returned when this is dropped.
+struct Reservation<'a> {
+    memory: &'a RefCell<ReplyMemory>,
+    held: usize,
+}
+
+impl Reservation<'_> {
+    /// Takes `more` bytes.
+    ///
+    /// # Errors
+    ///
+    /// When the reply may not be that large.
+    fn grow(&mut self, more: usize) -> Result<(), Failure> {
+        if self.held + more > MAX_REPLY_BYTES {
+            return Err(Failure::Broken("reply too large"));
+        }
+        match self.memory.borrow_mut().grow(self.held, more) {
+            Growth::Granted => self.held += more,
+            Growth::Denied => return Err(Failure::Broken("no memory for the reply")),
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.memory.borrow_mut().release(self.held);
+    }
+}
+
 /// Idle connections to all backend servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
     idle: RefCell<HashMap<id::Backend, Vec<Idle>>>,
     opened: Cell<u64>,
+    memory: RefCell<ReplyMemory>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            idle: RefCell::default(),
+            opened: Cell::new(0),
+            memory: RefCell::new(ReplyMemory::new(REPLY_MEMORY_BYTES)),
+        }
+    }
 }
 
 impl Pool {
@@ -133,6 +181,11 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
+    /// Number of bytes of replies that are being read.
+    pub fn reply_bytes(&self) -> usize {
+        self.memory.borrow().used()
+    }
+
     /// Sends a request and reads the complete reply. Nothing is sent if `may_send` returns false
     /// once a connection is ready.
     ///
@@ -176,7 +229,7 @@
             };
             open.head.end();
             match sent {
-                Ok(response) => return read_reply(backend, open, response).await,
+                Ok(response) => return self.read_reply(backend, open, response).await,
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if !is_new => request = unsent,
                     Some(_) => return Err(Failure::Unsent("connection closed before the request")),
@@ -250,6 +303,53 @@
         Ok(Open { id, sender, head })
     }
 
+    /// Reads the rest of a reply.
+    async fn read_reply(
+        &self,
+        backend: &id::Backend,
+        open: Open,
+        response: Response<Incoming>,
+    ) -> Result<(Response<Bytes>, Connection), Failure> {
+        let (head, body) = response.into_parts();
+        let body = self.read_body(body).await?;
+        let connection = Connection {
+            backend: backend.clone(),
+            open,
+            keep_alive: is_persistent(&head.headers).then(|| keep_alive_time(&head.headers)),
+        };
+        Ok((Response::from_parts(head, body), connection))
+    }
+
+    /// Reads a body into one buffer. Kept as they came, many small chunks would take several times
+    /// the memory of their data.
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, Failure> {
+        let mut reservation = Reservation {
+            memory: &self.memory,
+            held: 0,
+        };
+        let mut first = Bytes::new();
+        let mut joined = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Failure::Cut("reply cut off"))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            reservation.grow(data.len())?;
+            if first.is_empty() {
+                first = data;
+                continue;
+            }
+            if joined.is_empty() {
+                joined.extend_from_slice(&first);
+            }
+            joined.extend_from_slice(&data);
+        }
+        match joined.is_empty() {
+            true => Ok(first),
+            false => Ok(joined.freeze()),
+        }
+    }
+
     /// Keeps a connection for later requests, unless its server closes it.
     pub fn release(&self, connection: Connection) {
         if let Some(keep_alive) = connection.keep_alive {
@@ -289,28 +389,6 @@
     let _ = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
 }
 
-/// Reads the rest of a reply.
-async fn read_reply(
-    backend: &id::Backend,
-    open: Open,
-    response: Response<hyper::body::Incoming>,
-) -> Result<(Response<Bytes>, Connection), Failure> {
-    let (head, body) = response.into_parts();
-    let body = http_body_util::Limited::new(body, MAX_REPLY_BYTES)
-        .collect()
-        .await;
-    let body = body.map_err(|e| match e.is::<http_body_util::LengthLimitError>() {
-        true => Failure::Broken("reply too large"),
-        false => Failure::Cut("reply cut off"),
-    })?;
-    let connection = Connection {
-        backend: backend.clone(),
-        open,
-        keep_alive: is_persistent(&head.headers).then(|| keep_alive_time(&head.headers)),
-    };
-    Ok((Response::from_parts(head, body.to_bytes()), connection))
-}
-
 /// Classifies an error that ended an exchange after its request was sent.
 fn reply_failure(error: &hyper::Error) -> Failure {
     match error.is_parse() {
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod crashing;
 pub mod doubling;
+pub mod endless;
 
 use http::HeaderMap;
 use http::StatusCode;
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -150,6 +150,10 @@
         "lentillift_gateway_repeats_refused_total",
         "Repeated sends that the budget did not allow.",
     ),
+    (
+        "lentillift_gateway_reply_bytes",
+        "Bytes of backend servers' replies that are being read.",
+    ),
     (
         "lentillift_gateway_request_seconds",
         "Time to answer callers' requests, by route and outcome, in seconds.",
