--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod body;
 pub mod branch;
 pub mod daemon;
 pub mod dialect;
--- a/crates/lentillift-gateway/src/pool.rs
+++ b/crates/lentillift-gateway/src/pool.rs
@@ -6,13 +6,13 @@
 //! therefore dropped before the server's idle timeout, and well before it for requests that must
 //! run at most once.
 
+use crate::body::Body;
 use crate::head_limit::HeadLimit;
 use crate::head_limit::Limited;
 use crate::head_limit::MAX_HEAD_BYTES;
 use crate::reply_memory::Growth;
 use crate::reply_memory::ReplyMemory;
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http::header;
@@ -320,34 +320,21 @@
         Ok((Response::from_parts(head, body), connection))
     }
 
-    /// Reads a body into one buffer. Kept as they came, many small chunks would take several times
-    /// the memory of their data.
-    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, Failure> {
+    /// Reads a body to its end.
+    async fn read_body(&self, mut incoming: Incoming) -> Result<Bytes, Failure> {
         let mut reservation = Reservation {
             memory: &self.memory,
             held: 0,
         };
-        let mut first = Bytes::new();
-        let mut joined = BytesMut::new();
-        while let Some(frame) = body.frame().await {
+        let mut body = Body::default();
+        while let Some(frame) = incoming.frame().await {
             let frame = frame.map_err(|_| Failure::Cut("reply cut off"))?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            reservation.grow(data.len())?;
-            if first.is_empty() {
-                first = data;
-                continue;
+            if let Ok(data) = frame.into_data() {
+                reservation.grow(data.len())?;
+                body.push(data);
             }
-            if joined.is_empty() {
-                joined.extend_from_slice(&first);
-            }
-            joined.extend_from_slice(&data);
-        }
-        match joined.is_empty() {
-            true => Ok(first),
-            false => Ok(joined.freeze()),
         }
+        Ok(body.finish())
     }
 
     /// Keeps a connection for later requests, unless its server closes it.
