Explain answers that a stop cut short, and say foreign replies in the log

With every request answered before the process exits, `explain` found no `abandoned` line for one that a stop cut short, and blamed its server. The request's line now says `ending`, and the cause is that its host ended.

Reading the change once more: the log's event is one word like the others, what the sends of a request share is called its context, and decoding a branch request is a function of its own.

--- a/crates/lentillift-backend/src/client.rs
+++ b/crates/lentillift-backend/src/client.rs
@@ -117,7 +117,7 @@
         let (sent, written) = connect::track_writes(|| request.send(&*sub.body));
         let (result, report) = match sent {
             Ok(response) if names_another(&response, &id) => {
-                // Its contents and its report are of another time, if not of another server.
+                // The report is ignored too: a late one no longer describes the server.
                 self.discards.discard();
                 (sub::Result::unknown(Failure::Malformed), Report::default())
             }
--- a/crates/lentillift-backend/src/connect.rs
+++ b/crates/lentillift-backend/src/connect.rs
@@ -1,4 +1,4 @@
-//! Connections that record whether anything was written to them.
+//! Connections that record whether anything was written to them, and that can be discarded.
 //!
 //! An error of the client library does not state whether it occurred before or after the first byte
 //! was sent: the timeout of the whole call may expire while the connection is being opened, and an
@@ -50,7 +50,7 @@
     }
 }
 
-/// Opens TCP connections that record writes in [`WRITTEN`].
+/// Opens TCP connections that record writes in [`WRITTEN`] and obey [`Discards`].
 #[derive(Debug, Default)]
 pub(crate) struct WriteTrackingConnector {
     tcp: TcpConnector,
@@ -58,7 +58,7 @@
 }
 
 impl WriteTrackingConnector {
-    /// Creates a connector whose connections `discards` ends.
+    /// Creates a connector whose connections end with the next one of `discards`.
     pub(crate) fn new(discards: Discards) -> Self {
         Self {
             tcp: TcpConnector::default(),
@@ -85,7 +85,7 @@
     }
 }
 
-/// A connection that records writes in [`WRITTEN`].
+/// A connection that records writes in [`WRITTEN`] and obeys [`Discards`].
 #[derive(Debug)]
 pub(crate) struct WriteTrackingTransport<T> {
     tcp: T,
--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -105,7 +105,7 @@
     to: &id::Host,
     send: Send,
     services: Vec<String>,
-    request: &dispatch::Request,
+    context: &dispatch::Context,
 ) -> BranchReply
 where
     D: Dialect,
@@ -115,7 +115,7 @@
     let Some(address) = address else {
         return BranchReply::without(Outcome::Unreachable, "host is unknown");
     };
-    let Some(route) = wire::Route::of(&request.route, request.config) else {
+    let Some(route) = wire::Route::of(&context.route, context.config) else {
         return BranchReply::without(Outcome::Unreachable, "route has no shards");
     };
     let sent_at = host.now();
@@ -125,9 +125,9 @@
         incarnation: host.swim.borrow().own().incarnation,
         at: sent_at,
     };
-    let dispatch::Request {
+    let dispatch::Context {
         message, authority, ..
-    } = request;
+    } = context;
     let routed = RoutedRequest {
         request: wire::branch_request(&send, services, authority, message, &stamp),
         route,
--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -50,19 +50,7 @@
 {
     let view = host.core.borrow().view.clone();
     let view = view.ok_or_else(|| Error::new(Step::Check, "host", "no configuration yet"))?;
-    let (request, instructions) = match format {
-        Format::Routed => {
-            let routed: RoutedRequest = frame::decode(body, "host")?;
-            count_configuration(host, routed.route.config, &view);
-            let instructions = Instructions::from(&routed);
-            (routed.request, instructions)
-        }
-        Format::Previous => {
-            let request: BranchRequest = frame::decode(body, "host")?;
-            let instructions = Instructions::of_previous(&request, &view)?;
-            (request, instructions)
-        }
-    };
+    let (request, instructions) = read_request(host, &view, format, body)?;
     let delay = check_delay(host, &request)?;
     let branch = Branch::start(host, view, request, instructions, delay)?;
     Ok(frame::body(stream::unfold(
@@ -74,6 +62,28 @@
     )))
 }
 
+/// Decodes a branch request, and determines how to serve it.
+fn read_request<D, S>(
+    host: &Host<D, S>,
+    view: &View,
+    format: Format,
+    body: &[u8],
+) -> Result<(BranchRequest, Instructions)> {
+    match format {
+        Format::Routed => {
+            let routed: RoutedRequest = frame::decode(body, "host")?;
+            count_configuration(host, routed.route.config, view);
+            let instructions = Instructions::from(&routed);
+            Ok((routed.request, instructions))
+        }
+        Format::Previous => {
+            let request: BranchRequest = frame::decode(body, "host")?;
+            let instructions = Instructions::of_previous(&request, view)?;
+            Ok((request, instructions))
+        }
+    }
+}
+
 /// How to serve a branch request.
 struct Instructions {
     route: Arc<Route>,
--- a/crates/lentillift-gateway/src/dispatch.rs
+++ b/crates/lentillift-gateway/src/dispatch.rs
@@ -70,7 +70,7 @@
 
 /// What all sends of a request have in common.
 #[derive(Debug, Clone)]
-pub(crate) struct Request {
+pub(crate) struct Context {
     /// The route of the request.
     pub(crate) route: Arc<Route>,
     /// Version of the configuration that the route is from.
@@ -88,7 +88,7 @@
     host: Rc<Host<D, S>>,
     services: Vec<String>,
     send: Send,
-    request: Request,
+    context: Context,
 ) -> Completion
 where
     D: Dialect,
@@ -101,10 +101,10 @@
     let reply = match &send.target {
         Target::Server(server) => {
             let requirement = Requirement {
-                kind: request.route.kind,
-                rejected_on: &request.rejected_on,
+                kind: context.route.kind,
+                rejected_on: &context.rejected_on,
             };
-            let message = &request.message;
+            let message = &context.message;
             let result = exchange::exchange(&host, server, requirement, message, &send).await;
             BranchReply {
                 result,
@@ -114,7 +114,7 @@
         }
         Target::Host { host: to, .. } => {
             let to = to.clone();
-            branch::request_branch(&host, &to, send, services, &request).await
+            branch::request_branch(&host, &to, send, services, &context).await
         }
     };
     let took = host.now().saturating_sub(started);
--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -190,7 +190,7 @@
     reason: &'static str,
 ) {
     warn!(
-        event = "foreign reply",
+        event = "foreign",
         id = %message.id,
         backend = %server.entry.id,
         service = %server.entry.service,
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -220,6 +220,7 @@
     }
     let late = took > route.objective;
     if late || outcome != "whole" || done.repeats > 0 || is_sampled(&id) {
+        let ending = is_ending(host, &route);
         let request_log = RequestLog {
             id,
             fingerprint,
@@ -231,6 +232,7 @@
             timeout,
             config: view.config.version,
             age: host.age().unwrap_or_default(),
+            ending,
             done,
         };
         // Logged in a task of its own, so that the response is sent first.
@@ -239,6 +241,15 @@
     response
 }
 
+/// Whether this process ends before a typical reply to a request of `route` could come.
+fn is_ending<D, S>(host: &Host<D, S>, route: &Route) -> bool {
+    let Some(due) = host.answers_due.get() else {
+        return false;
+    };
+    let typical = host.core.borrow_mut().reply_times(route).typical;
+    host.clock.now() + typical >= due
+}
+
 /// Sampling interval of ordinary requests in the log. Sampling is by request id, so that all hosts
 /// that took part in a request log it.
 const SAMPLE_INTERVAL: u64 = 64;
--- a/crates/lentillift-gateway/src/request_log.rs
+++ b/crates/lentillift-gateway/src/request_log.rs
@@ -22,6 +22,8 @@
     pub(crate) timeout: Duration,
     pub(crate) config: Version,
     pub(crate) age: Duration,
+    /// Whether this process ended too soon for another reply.
+    pub(crate) ending: bool,
     pub(crate) done: RequestResult,
 }
 
@@ -43,6 +45,7 @@
             objective_ms = self.route.objective.as_millis() as u64,
             config = self.config,
             age_ms = self.age.as_millis() as u64,
+            ending = self.ending,
             repeats = self.done.repeats,
             unpaid = self.done.repeats_denied,
             missing = missing.join(" "),
--- a/crates/lentillift-gateway/src/run.rs
+++ b/crates/lentillift-gateway/src/run.rs
@@ -206,16 +206,16 @@
                 self.host.clone(),
                 self.leg_services(&send),
                 send,
-                self.request(),
+                self.context(),
             );
             self.in_flight.push(completion.boxed_local());
         }
     }
 
     /// What a send made now has in common with the others of this request.
-    fn request(&self) -> dispatch::Request {
+    fn context(&self) -> dispatch::Context {
         let plan = self.query.plan();
-        dispatch::Request {
+        dispatch::Context {
             route: plan.route.clone(),
             config: plan.view.config.version,
             message: self.message.clone(),
--- a/crates/lentillift/src/explanation.rs
+++ b/crates/lentillift/src/explanation.rs
@@ -210,6 +210,13 @@
                 .and_then(Value::as_u64)
                 .unwrap_or_default()
         };
+        if end.fields.get("ending") == Some(&Value::Bool(true)) {
+            return format!(
+                "cause: its host ended {} ms after it arrived, and answered {} before",
+                number("took_ms"),
+                number("status")
+            );
+        }
         let sends = text("notes").matches("; ").count();
         let late = end.fields.get("late") == Some(&Value::Bool(true));
         match text("outcome") {
