--- a/crates/lentillift-gateway/tests/chunks.rs
+++ b/crates/lentillift-gateway/tests/chunks.rs
@@ -13,8 +13,7 @@
 use common::single_service;
 use common::status;
 
-/// Memory that one reply of eight megabytes may take while it is read, in bytes: its data twice
-/// while the buffer grows, and the buffers of the connection.
+/// Memory that one reply may take while it is read, in bytes: four times the largest body.
 const MAX_GROWTH_BYTES: usize = 32 * 1024 * 1024;
 
 /// Highest memory that this process has had, in bytes.
--- a/crates/lentillift-gateway/tests/releases.rs
+++ b/crates/lentillift-gateway/tests/releases.rs
@@ -108,9 +108,8 @@
     decoded.expect("an answer").0
 }
 
-/// Guards against answers that lack some of the greatest records of their parts, because a host of
-/// the previous release, which does not say how many records it wants, wants more than this one
-/// would.
+/// Guards against truncated answers of a host of the previous release, which does not say how many
+/// records it wants.
 #[test]
 fn a_host_of_the_previous_release_gets_every_record() {
     run(async {
