Encode the key after which the next page of the store's list begins

What callers saw: after all processes were restarted, almost no request was served for as long as an entry of another writer stood in the list of backend servers, if its key held a character such as &, +, #, % or a blank and the list was longer than one page.

Cause: the key after which the next page begins went into the query as it was. With a blank, a quote or a control byte the URI is invalid and the read fails. & and # end the value early and + becomes a blank, so the next page begins before the key: if a whole page has such keys, the same page comes again until the limit of pages. An escape such as %7a is decoded to a later key, and the sound servers between the two are skipped without an error. A host that runs follows the watch and notices nothing before it reads the whole list again.

Why this fix works: everything but the unreserved characters, / and : is percent-encoded, so the store decodes the very key that it sent.

--- a/crates/lentillift-core/src/lib.rs
+++ b/crates/lentillift-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hit;
 pub mod id;
 pub mod outcome;
+pub mod percent;
 pub mod refusal;
 pub mod snapshot;
 pub mod sub;
