Encode the keys of the configuration service in the paths of its values

The cause of the lists that could not be read, on a related path: the older interface put the key of a value into the path as it was. No user reported it.

What would be seen: a service whose name holds #, ?, a blank, a line break or an escape has a placement that no process can read. The processes ask for it again and again, and pause their other reads after each failure.

Evidence: the stand-in takes a key as percent-encoded now.

Why this fix works: the key is encoded as in the store's client, and the service decodes the very key that it listed. Keys of letters, digits, -, ., _ and / are sent as before.

--- a/crates/lentillift-platform/src/client.rs
+++ b/crates/lentillift-platform/src/client.rs
@@ -3,6 +3,7 @@
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
+use lentillift_core::percent;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -60,7 +61,10 @@
     ///
     /// If the service can't be reached, has no such key, or the value is too large.
     pub fn value(&self, key: &str) -> Result<Vec<u8>> {
-        self.get(&format!("/v1/values/{key}"), REQUEST_TIMEOUT)
+        self.get(
+            &format!("/v1/values/{}", percent::encode(key)),
+            REQUEST_TIMEOUT,
+        )
     }
 
     fn get(&self, path: &str, timeout: Duration) -> Result<Vec<u8>> {
--- a/crates/lentillift-standin/src/platform.rs
+++ b/crates/lentillift-standin/src/platform.rs
@@ -8,6 +8,7 @@
 use lentillift_http::listener::Options;
 use lentillift_http::listener::json;
 use lentillift_http::listener::plain;
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -87,14 +88,16 @@
         self.calls.fetch_add(1, Ordering::Relaxed);
         let path = request.uri().path();
         match path.strip_prefix("/v1/values/") {
-            Some(key) => self.value(key),
+            Some(encoded_key) => self.value(encoded_key),
             None if path == "/v1/index" => self.index(request.uri().query()).await,
             None => plain(StatusCode::NOT_FOUND, "no such route".to_owned()),
         }
     }
 
-    fn value(&self, key: &str) -> Response<Bytes> {
-        match self.lock().values.get(key) {
+    /// Returns the value of a key that is percent-encoded in the request's path.
+    fn value(&self, encoded_key: &str) -> Response<Bytes> {
+        let key = percent_decode_str(encoded_key).decode_utf8_lossy();
+        match self.lock().values.get(key.as_ref()) {
             Some((_, value)) => json(StatusCode::OK, value.clone()),
             None => plain(StatusCode::NOT_FOUND, "no such key".to_owned()),
         }
