--- a/crates/lentillift-core/src/lib.rs
+++ b/crates/lentillift-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod coverage;
 pub mod error;
+pub mod excerpt;
 pub mod fingerprint;
 pub mod hit;
 pub mod id;
