--- a/crates/lentillift-scatter/src/catalog.rs
+++ b/crates/lentillift-scatter/src/catalog.rs
@@ -255,7 +255,7 @@
         self.lapsed.remove(&entry.id);
         let cold_until = match entry.cold_for {
             Duration::ZERO => Time::ZERO,
-            left => now + left,
+            left => now.saturating_add(left),
         };
         Some(Arc::new(Server {
             entry,
--- a/crates/lentillift-scatter/tests/beliefs.rs
+++ b/crates/lentillift-scatter/tests/beliefs.rs
@@ -215,6 +215,22 @@
     assert!(catalog.expire(START + OUTAGE_GRACE));
 }
 
+/// Guards against a host that stops following the published state at an entry whose warm-up ends after all times.
+#[test]
+fn a_warm_up_beyond_all_times_never_ends() {
+    let mut catalog = applied(vec![all(3, vec![put("c", 1, &[1])])]);
+    let update = changes(4, vec![put("b-x", 4, &[1, 0])]);
+    catalog.apply(START, update, GRACE, |item| match decode(item) {
+        Decoded::Server(entry) => Decoded::Server(Entry {
+            cold_for: Duration::MAX,
+            ..entry
+        }),
+        other => other,
+    });
+    let view = catalog.view().expect("a configuration is known");
+    assert_eq!(view.servers["s"][0].cold_until, Time::MAX);
+}
+
 /// Operators evacuate a failure domain and bring it back.
 #[test]
 fn an_evacuation_holds_until_it_is_revoked() {
