Count slots and connections that are as large as their type

A service whose configuration states more than 57 million connections gets a part of them that is far too small.

Cause: sums and products that overflow; a build with checks panics there.

Evidence: slots_beyond_all_connections and connections_beyond_all_numbers panicked.

Why this fix works: the sum saturates, and the percentage is taken with 64 bits.

--- a/crates/lentillift-scatter/src/limit.rs
+++ b/crates/lentillift-scatter/src/limit.rs
@@ -33,8 +33,9 @@
     if !share.is_settled(now, STARTUP_PERIOD) {
         return 1;
     }
-    let part = share.rounded_part(total * USED_PERCENT / 100).max(1) + 1;
-    part.min(slots + 1) as usize
+    let used = u64::from(total) * u64::from(USED_PERCENT) / 100;
+    let part = share.rounded_part(used as u32).max(1).saturating_add(1);
+    part.min(slots.saturating_add(1)) as usize
 }
 
 /// Limit on the requests to a cold backend server.
--- a/crates/lentillift-scatter/tests/limits.rs
+++ b/crates/lentillift-scatter/tests/limits.rs
@@ -29,6 +29,10 @@
 max_in_flight! {
     share_of_the_connections: 9, 26, 5, LATER => 3;
     at_most_one_more_than_the_slots: 2, 26, 2, LATER => 3;
+    /// Guards against an entry whose number of slots is too large to count one more.
+    slots_beyond_all_connections: 2, 26, u32::MAX, LATER => 10;
+    /// Guards against a configured number of connections that is too large to take a percentage of.
+    connections_beyond_all_numbers: 2, u32::MAX, 2, LATER => 3;
     /// With more hosts than connections, two each are too many if all use them at once; a divided
     /// search asks a server through one host of its failure domain, so that few hosts do.
     more_hosts_than_connections: 61, 52, 2, LATER => 2;
