Add up a reported load that is as large as its type

A build with checks panics in the request.

Cause: the sum overflows.

Evidence: a_queue_beyond_all_numbers_is_avoided panicked. The test of a queue that is avoided became its sound case; what it checks is unchanged.

Why this fix works: the sum saturates.

--- a/crates/lentillift-scatter/src/replica.rs
+++ b/crates/lentillift-scatter/src/replica.rs
@@ -312,7 +312,7 @@
         let slowness = 1.0 + (self.slowness.max(0.1) - 1.0) * weight;
         let slots = f64::from(slots.max(1));
         let reported = self.load.filter(|(_, at)| *at + LOAD_VALID_FOR > now);
-        let reported = reported.map_or(0, |(load, _)| load.running + load.waiting);
+        let reported = reported.map_or(0, |(load, _)| load.running.saturating_add(load.waiting));
         let ahead = (self.pending.len() as f64).max(f64::from(reported));
         let own = typical * slowness;
         let queue = own * (ahead + 1.0 - slots).max(0.0) / slots;
--- a/crates/lentillift-scatter/tests/replicas.rs
+++ b/crates/lentillift-scatter/tests/replicas.rs
@@ -130,13 +130,28 @@
     assert_eq!(choice(&mut core, START + MS * 2), "far");
 }
 
-/// The local replica reports five queued or running requests. The report soon expires.
-#[test]
-fn a_queue_is_avoided_while_it_lasts() {
+macro_rules! reported_queues {
+    ($($(#[$doc:meta])* $name:ident: $running:expr, $waiting:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            check_reported_queue($running, $waiting);
+        }
+    )*};
+}
+
+reported_queues! {
+    /// The local replica reports five queued or running requests. The report soon expires.
+    a_queue_is_avoided_while_it_lasts: 2, 3;
+    /// Guards against a reply whose load is too large to add up, and ends the request or makes the server look idle.
+    a_queue_beyond_all_numbers_is_avoided: u32::MAX, u32::MAX;
+}
+
+fn check_reported_queue(running: u32, waiting: u32) {
     let mut core = pair();
     let load = Load {
-        running: 2,
-        waiting: 3,
+        running,
+        waiting,
         slots: 2,
     };
     let send_id = core.next_send_id();
