Quote only the start of an odd entry in the log

What would be seen: an entry with an address of a megabyte that is none puts a megabyte into the log of each host that reads it, at each full read. No user reported it.

Cause: the reason of a refusal quotes what is wrong, however long it is.

Evidence: a_log_line_quotes_the_start_of_an_odd_entry found a line of 1,000,180 bytes.

Why this fix works: a line quotes 256 bytes of the reason at most, and the key has 200 at most.

--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -8,6 +8,7 @@
 use crate::pool::Pool;
 use crate::source::Source;
 use lentillift_core::error::Result;
+use lentillift_core::excerpt;
 use lentillift_core::id;
 use lentillift_core::time::Clock;
 use lentillift_core::time::Time;
@@ -329,6 +330,7 @@
             "in force"
         ),
         Change::Refused { key, cause } => {
+            let cause = excerpt::start_of(cause);
             warn!(event = "item", key, cause, revision, "refused")
         }
         Change::Server(backend, stage) => {
