Take no reply with a status above 599

A status below 100 was no answer before either.

Cause: the HTTP library turns down a status below 100, not one above 599, and the reply passed as the server's own failure. With the mark of a rejection it even counted as a request that did not run, and was sent again.

Why this fix works: such a reply is classified as malformed before anything else in it is read. The request counts as one that may have run, and the connection is closed.

--- a/crates/lentillift-backend/src/client.rs
+++ b/crates/lentillift-backend/src/client.rs
@@ -186,6 +186,8 @@
 fn result(response: &mut Response<ureq::Body>, work: &Work, report: &Report) -> sub::Result {
     match (response.status().as_u16(), work) {
         (200, _) => {}
+        // HTTP knows no such status, so nothing in the reply counts.
+        (600.., _) => return sub::Result::unknown(Failure::Malformed),
         (410, Work::Search { .. }) => return sub::Result::not_run(Failure::SnapshotGone),
         _ if is_not_run(response) && report.cold => return sub::Result::not_run(Failure::Cold),
         _ if is_not_run(response) => return sub::Result::not_run(Failure::Shed),
--- a/crates/lentillift-backend/tests/contract.rs
+++ b/crates/lentillift-backend/tests/contract.rs
@@ -258,6 +258,38 @@
     failed(Failure::Malformed, Unknown),
     1
 );
+case!(
+    status_000,
+    "A server in trouble replies with a status that HTTP doesn't know; the request may have run.",
+    action(),
+    ServerAct::Answer("000 OK\r\nx-outcome: not-run", "odd"),
+    failed(Connection, Unknown),
+    1
+);
+case!(
+    status_600,
+    "As above, with a status that the HTTP library lets through.",
+    action(),
+    ServerAct::Answer("600 OK\r\nx-outcome: not-run", "odd"),
+    failed(Failure::Malformed, Unknown),
+    1
+);
+case!(
+    blank_in_the_name_of_a_field,
+    "A server in trouble replies with a line that is no field; its body is no result.",
+    action(),
+    ServerAct::Answer("200 OK\r\nx odd: 1", "odd"),
+    failed(Connection, Unknown),
+    1
+);
+case!(
+    control_byte_in_the_name_of_a_field,
+    "As above, with a control byte.",
+    action(),
+    ServerAct::Answer("200 OK\r\nx\u{1}odd: 1", "odd"),
+    failed(Connection, Unknown),
+    1
+);
 case!(
     replied,
     "The server replies with status 200; its body is the result.",
--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -36,6 +36,9 @@
 /// Time that a reply may arrive after the server's own deadline.
 const REPLY_SLACK: Duration = Duration::from_millis(30);
 
+/// Highest status that HTTP knows.
+const MAX_STATUS: u16 = 599;
+
 /// A complete reply of a backend server.
 #[derive(Debug)]
 pub struct Reply {
@@ -158,7 +161,7 @@
     let response = Response::from_parts(head, body);
     let class = reply_class(&info, message, &response);
     let id = connection.id();
-    if !matches!(class, ReplyClass::Foreign(_)) {
+    if !matches!(class, ReplyClass::Foreign(_) | ReplyClass::Malformed(_)) {
         host.pool.release(connection);
     }
     match class {
@@ -175,7 +178,9 @@
             record_foreign_reply(host, server, message, &info, reason);
             ExchangeResult::without(Outcome::Broken, reason)
         }
-        ReplyClass::Unusable(reason) => ExchangeResult::without(Outcome::Broken, reason),
+        ReplyClass::Malformed(reason) | ReplyClass::Unusable(reason) => {
+            ExchangeResult::without(Outcome::Broken, reason)
+        }
         ReplyClass::Failure => with_reply(Outcome::Failure { load: info.load }, info, response),
         ReplyClass::Part => with_reply(Outcome::Part { load: info.load }, info, response),
     }
@@ -226,10 +231,15 @@
     Misdirected,
     /// It does not name the request, which may have run.
     Foreign(&'static str),
+    /// It is no reply in HTTP, so nothing in it counts.
+    Malformed(&'static str),
     Unusable(&'static str),
 }
 
 fn reply_class(info: &ReplyInfo, message: &Message, response: &Response<Bytes>) -> ReplyClass {
+    if response.status().as_u16() > MAX_STATUS {
+        return ReplyClass::Malformed("reply with an unknown status");
+    }
     // A reply proves nothing about a request that it does not name, not even that it did not run.
     match &info.id {
         Some(id) if *id != message.id => {
