--- a/crates/lentillift-gateway/tests/odd_heads.rs
+++ b/crates/lentillift-gateway/tests/odd_heads.rs
@@ -28,39 +28,50 @@
     backend(vec![Reaction::Write(reply.to_owned())]).await
 }
 
-/// Sends requests while the first of two servers sends the odd reply: an idempotent one gets the sound server's reply,
-/// an action an error, and a search counts the shard as missing.
+/// Starts a server that answers every request.
+async fn sound_server() -> Backend {
+    backend(vec![Reaction::Write(complete_reply("done"))]).await
+}
+
+/// Checks that this reply is no answer to anything.
 async fn check_is_no_answer(odd_reply: &str) {
-    let sound = || backend(vec![Reaction::Write(complete_reply("done"))]);
-    let (odd, other) = (odd_server(odd_reply).await, sound().await);
-    let served = serve(single_service(&[odd.address, other.address])).await;
+    check_request_is_repeated(odd_reply).await;
+    check_action_fails(odd_reply).await;
+    check_shard_is_missing(odd_reply).await;
+}
+
+/// An idempotent request gets the reply of the other server.
+async fn check_request_is_repeated(odd_reply: &str) {
+    let (odd, sound) = (odd_server(odd_reply).await, sound_server().await);
+    let served = serve(single_service(&[odd.address, sound.address])).await;
     let answer = send_request(served.front, &get("/one/x", "i")).await;
     assert_eq!(status(&answer), 200, "{answer}");
     assert!(answer.ends_with("done"), "{answer}");
+}
 
+/// An action may have run.
+async fn check_action_fails(odd_reply: &str) {
     let odd = odd_server(odd_reply).await;
     let served = serve(single_service(&[odd.address])).await;
     let answer = send_request(served.front, &get("/once/x", "i")).await;
     assert_eq!(status(&answer), 502, "{answer}");
-    assert!(
-        !answer.contains(ODD_BODY) && !answer.contains("sig-i"),
-        "{answer}"
-    );
+    assert!(!answer.contains(ODD_BODY), "{answer}");
+    assert!(!answer.contains("sig-i"), "{answer}");
+}
 
-    let (odd, other) = (odd_server(odd_reply).await, sound().await);
+/// A search has the shards of the other server.
+async fn check_shard_is_missing(odd_reply: &str) {
+    let (odd, sound) = (odd_server(odd_reply).await, sound_server().await);
     let items = vec![
         item("config", "s0 s1 objective=400".to_owned()),
         item("b0", format!("s0 {} a", odd.address)),
-        item("b1", format!("s1 {} a", other.address)),
+        item("b1", format!("s1 {} a", sound.address)),
     ];
     let served = serve(items).await;
     let answer = send_request(served.front, &get("/all/x", "i")).await;
     assert_eq!(status(&answer), 200, "{answer}");
-    assert_eq!(
-        header(&answer, "x-missing").as_deref(),
-        Some("1"),
-        "{answer}"
-    );
+    let missing = header(&answer, "x-missing");
+    assert_eq!(missing.as_deref(), Some("1"), "{answer}");
 }
 
 macro_rules! odd_statuses {
