--- a/crates/lentillift-gateway/tests/odd_heads.rs
+++ b/crates/lentillift-gateway/tests/odd_heads.rs
@@ -107,11 +107,11 @@
     run(async {
         let rejection = reply("HTTP/1.1 600 Full", "x-not-run: 1\r\nContent-Length: 3\r\n");
         let odd = odd_server(&rejection).await;
-        let mut other = backend(vec![Reaction::Write(complete_reply("done"))]).await;
-        let served = serve(single_service(&[odd.address, other.address])).await;
+        let mut sound = sound_server().await;
+        let served = serve(single_service(&[odd.address, sound.address])).await;
         let answer = send_request(served.front, &get("/once/x", "i")).await;
         assert_eq!(status(&answer), 502, "{answer}");
-        assert!(other.seen.try_recv().is_err());
+        assert!(sound.seen.try_recv().is_err());
     });
 }
 
