Bound the memory for callers' bodies

What callers saw: callers that sent many large bodies of legal size at once ended the process, which ran out of memory, and with it the requests of all others. Most stopped short of their end and stayed; complete bodies of requests that waited for a server did the same.

Cause: the size of each body was limited, their sum was not. A host that admits 1,950 callers with bodies of 256 KB would need 487 MB and has 260.

Why the fix works: all bodies together hold at most a quarter of the host's memory, from their first part until the last send of their request has ended. The memory is divided by the rule that divides it for replies, so that something is always left for a small body. When a body may not grow, the one of the request that was begun first is given up for it, and its memory is freed at once; small bodies are never given up, and what is left is refused. Both get 503 with Retry-After, which holds since nothing was sent. The rest of a refused body is read for a moment, so that the answer is not lost to a reset and the connection can be used again.

--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -9,7 +9,6 @@
 use crate::dialect::Dialect;
 use crate::frame;
 use crate::host::Host;
-use crate::message::Message;
 use crate::metric;
 use crate::part::SendResult;
 use crate::quarantine::wire;
@@ -191,7 +190,7 @@
         instructions: Instructions,
         delay: Duration,
     ) -> Result<Self> {
-        let message = Message::try_from(&request)?;
+        let message = request.message(host.uploads.reservation())?;
         let now = host.now();
         let Instructions {
             route,
--- a/crates/lentillift-gateway/src/branch/wire.rs
+++ b/crates/lentillift-gateway/src/branch/wire.rs
@@ -1,5 +1,6 @@
 //! Wire format of branch requests and their answers.
 
+use crate::body_memory::Reservation;
 use crate::message::Message;
 use crate::quarantine::wire;
 use bincode::Decode;
@@ -207,13 +208,12 @@
     }
 }
 
-impl TryFrom<&BranchRequest> for Message {
-    type Error = Error;
-
-    fn try_from(request: &BranchRequest) -> Result<Self> {
+impl BranchRequest {
+    /// Builds the caller's request, whose body holds `memory`.
+    pub(super) fn message(&self, memory: Reservation) -> Result<Message> {
         let fail = |e: &dyn std::fmt::Display| Error::new(Step::Decode, "host", e);
         let mut headers = HeaderMap::new();
-        for (name, value) in &request.headers {
+        for (name, value) in &self.headers {
             let name: HeaderName = name.parse().map_err(|e| fail(&e))?;
             let value = HeaderValue::from_bytes(value).map_err(|e| fail(&e))?;
             headers.append(name, value);
@@ -224,14 +224,15 @@
             authority,
             body,
             ..
-        } = request;
-        Ok(Self {
+        } = self;
+        Ok(Message {
             fingerprint: Fingerprint::of(method, authority, path, body),
-            method: request.method.parse().map_err(|e| fail(&e))?,
-            path: request.path.parse().map_err(|e| fail(&e))?,
+            method: self.method.parse().map_err(|e| fail(&e))?,
+            path: self.path.parse().map_err(|e| fail(&e))?,
             headers,
-            body: request.body.clone().into(),
-            id: request.id.as_str().into(),
+            body: self.body.clone().into(),
+            id: self.id.as_str().into(),
+            memory,
         })
     }
 }
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -14,6 +14,7 @@
 use crate::pool::Pool;
 use crate::quarantine;
 use crate::source::Source;
+use crate::upload::Uploads;
 use lentillift_core::error::Error;
 use lentillift_core::error::Result;
 use lentillift_core::error::Step;
@@ -86,6 +87,8 @@
     pub front: SocketAddr,
     /// Maximum number of concurrent caller connections.
     pub max_callers: usize,
+    /// Memory for the bodies of callers' requests, in bytes.
+    pub body_memory: usize,
     /// Address of the listener for the balancer's readiness probes.
     pub ready: SocketAddr,
     /// Address at which other hosts reach this one, by TCP and UDP.
@@ -236,6 +239,7 @@
         dialect,
         source,
         pool: Pool::default(),
+        uploads: Uploads::new(settings.body_memory),
         peers: Peers::default(),
         metrics: Registry::default(),
         core: RefCell::new(core),
@@ -344,6 +348,8 @@
         registry.gauge(metric::OPENED, host.pool.opened() as f64);
         registry.gauge(metric::IDLE, host.pool.idle() as f64);
         registry.gauge(metric::REPLY_BYTES, host.pool.reply_bytes() as f64);
+        registry.gauge(metric::BODY_BYTES, host.uploads.bytes() as f64);
+        registry.gauge(metric::BODIES_GIVEN_UP, host.uploads.given_up() as f64);
         let age = host.age().map_or(-1.0, |age| age.as_secs_f64());
         registry.gauge(metric::AGE, age);
         let lag = host.core.borrow().lag.mean();
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -62,6 +62,10 @@
 /// `Retry-After` of a host without a configuration: another host has one.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// `Retry-After` of a host without memory for a body: other hosts may have some, and large bodies are
+/// sent or given up in about this time.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Assumed timeout of a caller that specifies none, before its route is known.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -289,12 +293,12 @@
     };
     let limits = found.view.config.limits;
     let timeout = info.timeout.unwrap_or(found.route.timeout);
-    let received = tokio::time::timeout(timeout, receive(body, limits.body_bytes)).await;
-    let body = match received.unwrap_or(Err(receive::Failure::Late)) {
-        Ok(body) => body,
+    let received = receive(&host.uploads, body, limits.body_bytes, timeout).await;
+    let (body, memory) = match received {
+        Ok(received) => received,
         Err(failure) => {
             log_turned_away(host, &info, failure.reason());
-            return Err(status(failure.status()));
+            return Err(body_failure_response(failure));
         }
     };
     // The configuration may have changed while the body arrived. A route that is gone by now
@@ -315,6 +319,7 @@
         body,
         id: info.id.unwrap_or_default(),
         fingerprint,
+        memory,
     };
     Ok(ParsedRequest {
         message,
@@ -325,6 +330,16 @@
     })
 }
 
+/// The answer to a request whose body was not received, so that it did not run.
+fn body_failure_response(failure: receive::Failure) -> Response<Bytes> {
+    match failure {
+        receive::Failure::TooLarge => status(StatusCode::PAYLOAD_TOO_LARGE),
+        receive::Failure::CutOff => status(StatusCode::BAD_REQUEST),
+        receive::Failure::Late => status(StatusCode::REQUEST_TIMEOUT),
+        receive::Failure::NoMemory => unavailable(NO_MEMORY_RETRY_AFTER),
+    }
+}
+
 /// A route, and the view that contains it.
 struct RouteMatch {
     view: Arc<View>,
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -7,6 +7,7 @@
 use crate::peer::Peers;
 use crate::pool::Pool;
 use crate::source::Source;
+use crate::upload::Uploads;
 use lentillift_core::error::Result;
 use lentillift_core::excerpt;
 use lentillift_core::id;
@@ -80,6 +81,8 @@
     pub source: S,
     /// Connections to backend servers.
     pub pool: Pool,
+    /// Bodies of callers' requests.
+    pub uploads: Uploads,
     /// Connections to other hosts.
     pub peers: Peers,
     /// Metrics of this process.
--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 
 pub mod body;
+pub mod body_memory;
 pub mod branch;
 pub mod daemon;
 pub mod dialect;
@@ -34,7 +35,8 @@
 pub mod pool;
 pub mod quarantine;
 mod receive;
-pub mod reply_memory;
 mod request_log;
 pub mod run;
 pub mod source;
+mod upload;
+pub mod waiting;
--- a/crates/lentillift-gateway/src/message.rs
+++ b/crates/lentillift-gateway/src/message.rs
@@ -1,5 +1,6 @@
 //! A caller's request as it is forwarded.
 
+use crate::body_memory::Reservation;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
@@ -9,7 +10,7 @@
 use lentillift_core::fingerprint::Fingerprint;
 
 /// A request without its hop-by-hop headers.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Message {
     /// HTTP method.
     pub method: Method,
@@ -23,6 +24,8 @@
     pub id: Box<str>,
     /// Hash of method, authority, path and body, equal for all attempts of the same request.
     pub fingerprint: Fingerprint,
+    /// Memory that the body holds, until the last send of the request has ended.
+    pub memory: Reservation,
 }
 
 /// Headers that describe one connection or the framing of one message, and are not forwarded.
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -51,6 +51,12 @@
 /// Gauge of the bytes of backend servers' replies that are being read.
 pub const REPLY_BYTES: &str = "lentillift_gateway_reply_bytes";
 
+/// Gauge of the bytes of callers' bodies, until their requests are answered.
+pub const BODY_BYTES: &str = "lentillift_gateway_body_bytes";
+
+/// Gauge of the number of callers' bodies given up since the start, for lack of memory.
+pub const BODIES_GIVEN_UP: &str = "lentillift_gateway_bodies_given_up";
+
 /// Gauge of hosts that may be serving, this one included.
 pub const HOSTS: &str = "lentillift_gateway_hosts";
 
--- a/crates/lentillift-gateway/src/pool.rs
+++ b/crates/lentillift-gateway/src/pool.rs
@@ -7,11 +7,12 @@
 //! run at most once.
 
 use crate::body::Body;
+use crate::body_memory::BodyMemory;
+use crate::body_memory::Growth;
+use crate::body_memory::Reservation;
 use crate::head_limit::HeadLimit;
 use crate::head_limit::Limited;
 use crate::head_limit::MAX_HEAD_BYTES;
-use crate::reply_memory::Growth;
-use crate::reply_memory::ReplyMemory;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
@@ -30,6 +31,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -122,33 +124,18 @@
     pub rejected_on: &'a [ConnectionId],
 }
 
-/// Memory that one reply holds; returned when this is dropped.
-struct Reservation<'a> {
-    memory: &'a RefCell<ReplyMemory>,
-    held: usize,
-}
-
-impl Reservation<'_> {
-    /// Takes `more` bytes.
-    ///
-    /// # Errors
-    ///
-    /// When the reply may not be that large.
-    fn grow(&mut self, more: usize) -> Result<(), Failure> {
-        if self.held + more > MAX_REPLY_BYTES {
-            return Err(Failure::Broken("reply too large"));
-        }
-        match self.memory.borrow_mut().grow(self.held, more) {
-            Growth::Granted => self.held += more,
-            Growth::Denied => return Err(Failure::Broken("no memory for the reply")),
-        }
-        Ok(())
+/// Takes memory for `more` bytes of a reply.
+///
+/// # Errors
+///
+/// When the reply may not be that large.
+fn grow_reply(reservation: &mut Reservation, more: usize) -> Result<(), Failure> {
+    if reservation.held() + more > MAX_REPLY_BYTES {
+        return Err(Failure::Broken("reply too large"));
     }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        self.memory.borrow_mut().release(self.held);
+    match reservation.grow(more) {
+        Growth::Granted => Ok(()),
+        Growth::Denied => Err(Failure::Broken("no memory for the reply")),
     }
 }
 
@@ -157,7 +144,7 @@
 pub struct Pool {
     idle: RefCell<HashMap<id::Backend, Vec<Idle>>>,
     opened: Cell<u64>,
-    memory: RefCell<ReplyMemory>,
+    memory: Rc<RefCell<BodyMemory>>,
 }
 
 impl Default for Pool {
@@ -165,7 +152,7 @@
         Self {
             idle: RefCell::default(),
             opened: Cell::new(0),
-            memory: RefCell::new(ReplyMemory::new(REPLY_MEMORY_BYTES)),
+            memory: Rc::new(RefCell::new(BodyMemory::new(REPLY_MEMORY_BYTES))),
         }
     }
 }
@@ -322,15 +309,12 @@
 
     /// Reads a body to its end.
     async fn read_body(&self, mut incoming: Incoming) -> Result<Bytes, Failure> {
-        let mut reservation = Reservation {
-            memory: &self.memory,
-            held: 0,
-        };
+        let mut reservation = Reservation::new(&self.memory);
         let mut body = Body::default();
         while let Some(frame) = incoming.frame().await {
             let frame = frame.map_err(|_| Failure::Cut("reply cut off"))?;
             if let Ok(data) = frame.into_data() {
-                reservation.grow(data.len())?;
+                grow_reply(&mut reservation, data.len())?;
                 body.push(data);
             }
         }
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -251,10 +251,24 @@
 /// Maximum number of concurrent caller connections.
 pub const MAX_CALLERS: usize = 3;
 
+/// Memory for callers' bodies, in bytes.
+pub const BODY_MEMORY: usize = 16 << 20;
+
 pub type SharedHost = Rc<Host<TestDialect, MemorySource>>;
 
 /// State of a process named `name` in `domain`, which other hosts reach at `node`.
 pub fn host(name: &str, domain: &str, node: SocketAddr, source: MemorySource) -> SharedHost {
+    host_with_memory(name, domain, node, source, BODY_MEMORY)
+}
+
+/// As [`host`], with `body_memory` bytes for callers' bodies.
+fn host_with_memory(
+    name: &str,
+    domain: &str,
+    node: SocketAddr,
+    source: MemorySource,
+    body_memory: usize,
+) -> SharedHost {
     let unused = ([127, 0, 0, 1], 0).into();
     let settings = Settings {
         name: name.into(),
@@ -262,6 +276,7 @@
         regions: BTreeMap::from([("a".into(), "r".into()), ("b".into(), "r".into())]),
         front: unused,
         max_callers: MAX_CALLERS,
+        body_memory,
         ready: unused,
         node,
         inbound: node,
@@ -304,8 +319,24 @@
 
 /// As [`serve`], with a source of published state.
 pub async fn serve_from(items: Vec<Item>, source: MemorySource) -> Served {
+    serve_on(items, |front| host("h", "a", front, source)).await
+}
+
+/// As [`serve`], with `body_memory` bytes for callers' bodies.
+pub async fn serve_with_memory(items: Vec<Item>, body_memory: usize) -> Served {
+    let source = MemorySource::default();
+    serve_on(items, |front| {
+        host_with_memory("h", "a", front, source, body_memory)
+    })
+    .await
+}
+
+async fn serve_on<F>(items: Vec<Item>, host_at: F) -> Served
+where
+    F: FnOnce(SocketAddr) -> SharedHost,
+{
     let (listener, front) = listener().await;
-    let host = host("h", "a", front, source);
+    let host = host_at(front);
     if !items.is_empty() {
         host.apply_update(Some(Update::All { revision: 1, items }), Duration::ZERO);
     }
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -86,6 +86,14 @@
         "lentillift_gateway_backend_connections_opened",
         "Connections to backend servers opened since the start.",
     ),
+    (
+        "lentillift_gateway_bodies_given_up",
+        "Callers' bodies given up since the start, for lack of memory.",
+    ),
+    (
+        "lentillift_gateway_body_bytes",
+        "Bytes of callers' bodies, until their requests are answered.",
+    ),
     (
         "lentillift_gateway_branch_requests_total",
         "Requests of other hosts for shards, by whether their configuration is older, the same or newer.",
