Count callers' bodies that hosts forward to each other

What callers saw: complete searches with large bodies took more memory than their host has, and the hosts that they were forwarded to held the same bodies once more.

Cause: a branch request has a copy of the caller's body, which neither the host that sends it nor the one that reads it counted.

Why the fix works: the copy is counted in the same memory until the other host has it, and the other host receives it as it receives a caller's body, which it then counts until the last send has ended. Where there is no memory, servers are asked directly, which takes no copy. A request of a host that falls silent is given up after 5 s, since its memory would be held for good.

--- a/crates/lentillift-gateway/src/branch.rs
+++ b/crates/lentillift-gateway/src/branch.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 mod wire;
 
+use crate::body_memory::Growth;
 use crate::dialect::Dialect;
 use crate::dispatch;
 use crate::exchange::ExchangeResult;
@@ -128,6 +129,11 @@
     let dispatch::Context {
         message, authority, ..
     } = context;
+    // The encoded request holds a copy of the body until the host has it.
+    let mut memory = host.uploads.reservation();
+    if memory.grow(message.body.len()) == Growth::Denied {
+        return BranchReply::without(Outcome::Unreachable, "no memory for the request");
+    }
     let routed = RoutedRequest {
         request: wire::branch_request(&send, services, authority, message, &stamp),
         route,
@@ -139,6 +145,7 @@
     *request.method_mut() = http::Method::POST;
     *request.uri_mut() = http::Uri::from_static("http://host/v3/branch");
     let result = tokio::time::timeout(send.timeout, host.peers.send(address, request)).await;
+    drop(memory);
     let response = match result {
         Ok(Ok(response)) => response,
         Ok(Err(e)) if e.step == Step::Connect => {
--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -6,9 +6,11 @@
 use super::wire::BranchRequest;
 use super::wire::RoutedRequest;
 use super::wire::SlowBackend;
+use crate::body_memory::Reservation;
 use crate::dialect::Dialect;
 use crate::frame;
 use crate::host::Host;
+use crate::message::Message;
 use crate::metric;
 use crate::part::SendResult;
 use crate::quarantine::wire;
@@ -37,12 +39,17 @@
 use std::time::Duration;
 use tracing::info;
 
-/// Starts a branch request and returns the stream of answers.
+/// Starts a branch request, whose body holds `memory`, and returns the stream of answers.
 ///
 /// # Errors
 ///
 /// When the request is malformed or can't be served here; in that case nothing was sent.
-pub fn answer<D, S>(host: &Rc<Host<D, S>>, format: Format, body: &[u8]) -> Result<frame::Body>
+pub fn answer<D, S>(
+    host: &Rc<Host<D, S>>,
+    format: Format,
+    body: &[u8],
+    mut memory: Reservation,
+) -> Result<frame::Body>
 where
     D: Dialect,
     S: Source,
@@ -51,7 +58,10 @@
     let view = view.ok_or_else(|| Error::new(Step::Check, "host", "no configuration yet"))?;
     let (request, instructions) = read_request(host, &view, format, body)?;
     let delay = check_delay(host, &request)?;
-    let branch = Branch::start(host, view, request, instructions, delay)?;
+    // What remains is the caller's body.
+    memory.shrink_to(request.body.len());
+    let message = request.message(memory)?;
+    let branch = Branch::start(host, view, request, message, instructions, delay)?;
     Ok(frame::body(stream::unfold(
         branch,
         |mut branch| async move {
@@ -187,10 +197,10 @@
         host: &Rc<Host<D, S>>,
         view: Arc<View>,
         request: BranchRequest,
+        message: Message,
         instructions: Instructions,
         delay: Duration,
     ) -> Result<Self> {
-        let message = request.message(host.uploads.reservation())?;
         let now = host.now();
         let Instructions {
             route,
--- a/crates/lentillift-gateway/src/listen.rs
+++ b/crates/lentillift-gateway/src/listen.rs
@@ -11,6 +11,8 @@
 use crate::metric;
 use crate::pool::set_socket_options;
 use crate::quarantine;
+use crate::receive;
+use crate::receive::receive;
 use crate::source::Source;
 use bytes::Bytes;
 use http::Method;
@@ -42,6 +44,10 @@
 /// Timeout for reading the head of a request of the balancer or an operator.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Timeout for reading the body of another host's request, which would hold its memory if the host's
+/// connection went silent.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Largest request body of another host, in bytes.
 const MAX_REQUEST_BYTES: usize = 4 * 1024 * 1024;
 
@@ -191,18 +197,7 @@
 {
     let path = request.uri().path().to_owned();
     if let Some(format) = branch::Format::of(&path) {
-        let body = http_body_util::Limited::new(request.into_body(), MAX_REQUEST_BYTES);
-        let result = match body.collect().await {
-            Ok(body) => branch::answer::answer(&host, format, &body.to_bytes()),
-            Err(e) => Err(Error::new(Step::Read, "host", e)),
-        };
-        return match result {
-            Ok(body) => Response::new(Either::Right(body)),
-            Err(error) => {
-                warn!(event = "branch", %error, "request of another host not served");
-                bad_request().map(Either::Left)
-            }
-        };
+        return serve_branch(&host, format, request.into_body()).await;
     }
     if path == quarantine::PATH {
         return exchange_quarantine(&host, request.into_body()).await;
@@ -217,6 +212,30 @@
     }
 }
 
+async fn serve_branch<D, S>(
+    host: &Rc<Host<D, S>>,
+    format: branch::Format,
+    body: Incoming,
+) -> Response<Body>
+where
+    D: Dialect,
+    S: Source,
+{
+    let received = receive(&host.uploads, body, MAX_REQUEST_BYTES, BODY_TIMEOUT).await;
+    let result = match received {
+        Ok((body, memory)) => branch::answer::answer(host, format, &body, memory),
+        Err(receive::Failure::NoMemory) => return unavailable().map(Either::Left),
+        Err(failure) => Err(Error::new(Step::Read, "host", failure.reason())),
+    };
+    match result {
+        Ok(body) => Response::new(Either::Right(body)),
+        Err(error) => {
+            warn!(event = "branch", %error, "request of another host not served");
+            bad_request().map(Either::Left)
+        }
+    }
+}
+
 async fn exchange_quarantine<D, S>(host: &Host<D, S>, body: Incoming) -> Response<Body>
 where
     D: Dialect,
@@ -237,7 +256,16 @@
 }
 
 fn bad_request() -> Response<Full<Bytes>> {
+    empty(StatusCode::BAD_REQUEST)
+}
+
+/// Tells another host that nothing was sent and that it has to ask elsewhere.
+fn unavailable() -> Response<Full<Bytes>> {
+    empty(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
-    *response.status_mut() = StatusCode::BAD_REQUEST;
+    *response.status_mut() = status;
     response
 }
