Await a body no longer than its route allows

What callers saw: callers that stated a deadline of an hour and stopped short of the end of their bodies kept their memory and their connections for that hour; the places of a host ran out, and new callers waited.

Cause: the end of a body was awaited for as long as its caller stated, and its route's timeout only where the caller stated nothing.

Evidence: a caller with such a deadline that stops one byte short got no answer within a minute; with this change it gets 408 after its route's timeout of 4 s.

Why the fix works: a request is answered by its route's timeout in any case, so one whose body ends later can't be served. 408 promises that it did not run, which holds since nothing was sent.

--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -293,7 +293,9 @@
     };
     let limits = found.view.config.limits;
     let timeout = info.timeout.unwrap_or(found.route.timeout);
-    let received = receive(&host.uploads, body, limits.body_bytes, timeout).await;
+    // A request that is complete only after its route's timeout can't be served, whatever its caller states.
+    let body_timeout = timeout.min(found.route.timeout);
+    let received = receive(&host.uploads, body, limits.body_bytes, body_timeout).await;
     let (body, memory) = match received {
         Ok(received) => received,
         Err(failure) => {
