Close callers that keep the host waiting when newcomers have no place

What callers saw: callers that opened connections and sent nothing, or a head or a body without its end, took all connections that a host may have. Ordinary callers waited in the listener's backlog.

Cause: a connection was accepted only once another one had ended, and nothing ended one whose caller stalled before its timeout: 15 s idle for a connection or a head in the users' configurations, the route's timeout for a body.

Why the fix works: a newcomer is accepted first and takes the place of a caller that the host waits for. The choice is a module without network and clock (places): stalled requests and connections that never had one first, then idle connections, then requests that have just begun; never one that is being served. A request whose body is given up gets 503 with Retry-After, which holds since nothing was sent; a connection without a complete head is closed unread. The mechanism can be switched off (reclaim).

--- /dev/null
+++ b/crates/lentillift-gateway/src/caller_connection.rs
@@ -0,0 +1,263 @@
+//! Callers' connections: what the host awaits on each, and the request to close one for a newcomer.
+
+use crate::places::Awaited;
+use crate::places::Places;
+use crate::places::Ticket;
+use lentillift_core::time::Clock;
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::rc::Weak;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::sync::Notify;
+
+/// All open connections of callers.
+#[derive(Debug)]
+pub struct Connections {
+    clock: Clock,
+    places: RefCell<Places>,
+    /// The connections on which the host waits.
+    waiting: RefCell<HashMap<Ticket, Weak<Connection>>>,
+    /// Signals that the host begins to wait on a connection.
+    began_to_wait: Notify,
+    open: Cell<usize>,
+    closed: Cell<u64>,
+}
+
+impl Connections {
+    /// Creates it without connections.
+    pub(crate) fn new(clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            places: RefCell::default(),
+            waiting: RefCell::default(),
+            began_to_wait: Notify::new(),
+            open: Cell::new(0),
+            closed: Cell::new(0),
+        })
+    }
+
+    /// Number of open connections.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Number of connections closed because they kept the host waiting.
+    pub(crate) fn closed(&self) -> u64 {
+        self.closed.get()
+    }
+
+    /// Adds a connection that was accepted.
+    pub(crate) fn add(self: &Rc<Self>) -> Rc<Connection> {
+        self.open.set(self.open.get() + 1);
+        let connection = Rc::new(Connection {
+            all: self.clone(),
+            stage: Cell::new(Stage::Serving),
+            has_read_ahead: Cell::new(false),
+            is_closing: Cell::new(false),
+            close: Notify::new(),
+        });
+        connection.wait_for(Awaited::FirstRequest);
+        connection
+    }
+
+    /// Closes a connection for a newcomer, as soon as there is one that is not being served.
+    pub(crate) async fn make_room(&self) {
+        loop {
+            let chosen = self.places.borrow().to_close(self.clock.now());
+            if let Some(ticket) = chosen {
+                return self.close(ticket);
+            }
+            self.began_to_wait.notified().await;
+        }
+    }
+
+    fn close(&self, ticket: Ticket) {
+        let connection = self.end_wait(ticket);
+        if let Some(connection) = connection.and_then(|connection| connection.upgrade()) {
+            connection.is_closing.set(true);
+            connection.close.notify_waiters();
+            self.closed.set(self.closed.get() + 1);
+        }
+    }
+
+    fn end_wait(&self, ticket: Ticket) -> Option<Weak<Connection>> {
+        self.places.borrow_mut().end(ticket);
+        self.waiting.borrow_mut().remove(&ticket)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Waiting { awaited: Awaited, ticket: Ticket },
+    Serving,
+}
+
+/// A caller's connection.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    all: Rc<Connections>,
+    stage: Cell<Stage>,
+    /// Whether a part of the next request came while this one was served.
+    has_read_ahead: Cell<bool>,
+    is_closing: Cell<bool>,
+    close: Notify,
+}
+
+impl Connection {
+    /// Records that bytes came.
+    fn bytes_came(self: &Rc<Self>) {
+        match self.stage.get() {
+            Stage::Waiting {
+                awaited: Awaited::FirstRequest | Awaited::NextRequest,
+                ..
+            } => self.wait_for(Awaited::Head),
+            Stage::Waiting { .. } => {}
+            Stage::Serving => self.has_read_ahead.set(true),
+        }
+    }
+
+    /// Records that the head of a request is complete, and its body is awaited.
+    pub(crate) fn head_came(&self) {
+        if let Stage::Waiting { ticket, .. } = self.stage.get() {
+            self.all.places.borrow_mut().begin_body(ticket);
+            let awaited = Awaited::Body;
+            self.stage.set(Stage::Waiting { awaited, ticket });
+        }
+    }
+
+    /// Records that a request is complete.
+    pub(crate) fn request_came(&self) {
+        self.end_wait();
+    }
+
+    /// Records that the response to a request is being sent, and the next one is awaited.
+    pub(crate) fn answered(self: &Rc<Self>) {
+        self.wait_for(match self.has_read_ahead.replace(false) {
+            true => Awaited::Head,
+            false => Awaited::NextRequest,
+        });
+    }
+
+    /// Waits until the connection is to be closed.
+    pub(crate) async fn close_requested(&self) {
+        let requested = self.close.notified();
+        if !self.is_closing.get() {
+            requested.await;
+        }
+    }
+
+    /// Whether the connection is to be closed.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
+    /// What the host awaits on the connection; none while a request is served.
+    pub(crate) fn awaited(&self) -> Option<Awaited> {
+        match self.stage.get() {
+            Stage::Waiting { awaited, .. } => Some(awaited),
+            Stage::Serving => None,
+        }
+    }
+
+    /// Whether a request is being received or served, which has to be answered first.
+    pub(crate) fn has_request(&self) -> bool {
+        matches!(self.awaited(), None | Some(Awaited::Body))
+    }
+
+    fn wait_for(self: &Rc<Self>, awaited: Awaited) {
+        self.end_wait();
+        let now = self.all.clock.now();
+        let ticket = self.all.places.borrow_mut().begin(awaited, now);
+        let mut waiting = self.all.waiting.borrow_mut();
+        waiting.insert(ticket, Rc::downgrade(self));
+        self.stage.set(Stage::Waiting { awaited, ticket });
+        self.all.began_to_wait.notify_waiters();
+    }
+
+    fn end_wait(&self) {
+        if let Stage::Waiting { ticket, .. } = self.stage.replace(Stage::Serving) {
+            self.all.end_wait(ticket);
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.end_wait();
+        self.all.open.set(self.all.open.get() - 1);
+    }
+}
+
+/// A caller's stream, which tells its connection when bytes come.
+#[derive(Debug)]
+pub(crate) struct Watched<T> {
+    stream: T,
+    connection: Rc<Connection>,
+}
+
+impl<T> Watched<T> {
+    /// Watches `stream` for `connection`.
+    pub(crate) fn new(stream: T, connection: Rc<Connection>) -> Self {
+        Self { stream, connection }
+    }
+}
+
+impl<T> AsyncRead for Watched<T>
+where
+    T: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
+        if buffer.filled().len() > before {
+            self.connection.bytes_came();
+        }
+        Poll::Ready(result)
+    }
+}
+
+impl<T> AsyncWrite for Watched<T>
+where
+    T: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The process: start, listeners, background tasks and shutdown.
 
+use crate::caller_connection::Connections;
 use crate::dialect::Dialect;
 use crate::feed;
 use crate::front;
@@ -254,7 +255,7 @@
         roster: RefCell::new(Roster::default()),
         quarantine_changed: Notify::new(),
         delays: RefCell::new(Delays::default()),
-        caller_connections: Cell::new(0),
+        connections: Connections::new(clock),
         last_update: RefCell::new(None),
         followers: Cell::new(0),
         changed: watch::Sender::new(0),
@@ -272,11 +273,7 @@
     D: Dialect,
     S: Source,
 {
-    info!(
-        event = "stop",
-        callers = host.caller_connections.get(),
-        "leaving"
-    );
+    info!(event = "stop", callers = host.connections.open(), "leaving");
     let started = host.now();
     let deadline = started + grace.saturating_sub(END_MARGIN);
     host.leave(deadline.saturating_sub(ANSWER_MARGIN));
@@ -284,17 +281,13 @@
     member::apply_effects(host, socket, effects);
     tokio::time::sleep(grace.mul_f64(LEAVING_SHARE)).await;
     host.stage.send_replace(Stage::Closing);
-    while host.caller_connections.get() > 0 && host.now() < deadline {
+    while host.connections.open() > 0 && host.now() < deadline {
         tokio::time::sleep(HOUSEKEEPING_PERIOD / 5).await;
     }
     let effects = host.swim.borrow_mut().end();
     member::apply_effects(host, socket, effects);
     host.stage.send_replace(Stage::Over);
-    info!(
-        event = "stop",
-        callers = host.caller_connections.get(),
-        "ended"
-    );
+    info!(event = "stop", callers = host.connections.open(), "ended");
 }
 
 /// Removes expired state, updates gauges, and announces when this process is ready for callers.
@@ -350,6 +343,7 @@
         registry.gauge(metric::REPLY_BYTES, host.pool.reply_bytes() as f64);
         registry.gauge(metric::BODY_BYTES, host.uploads.bytes() as f64);
         registry.gauge(metric::BODIES_GIVEN_UP, host.uploads.given_up() as f64);
+        registry.gauge(metric::CALLERS_CLOSED, host.connections.closed() as f64);
         let age = host.age().map_or(-1.0, |age| age.as_secs_f64());
         registry.gauge(metric::AGE, age);
         let lag = host.core.borrow().lag.mean();
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -1,5 +1,7 @@
 //! Front end: callers' connections and requests.
 
+use crate::caller_connection::Connection;
+use crate::caller_connection::Watched;
 use crate::dialect::Dialect;
 use crate::dialect::RequestInfo;
 use crate::host::Host;
@@ -10,6 +12,7 @@
 use crate::metric;
 use crate::part::Content;
 use crate::part::RequestResult;
+use crate::places::Awaited;
 use crate::pool::set_socket_options;
 use crate::receive;
 use crate::receive::receive;
@@ -31,13 +34,14 @@
 use hyper_util::rt::TokioTimer;
 use lentillift_core::fingerprint::Fingerprint;
 use lentillift_core::time::Time;
-use lentillift_scatter::caller::Caller;
+use lentillift_scatter::caller;
 use lentillift_scatter::config::Limits;
 use lentillift_scatter::config::Route;
 use lentillift_scatter::config::Target;
 use lentillift_scatter::outcome::Next;
 use lentillift_scatter::plan::Plan;
 use lentillift_scatter::record;
+use lentillift_scatter::switch::Mechanism;
 use lentillift_scatter::view::View;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -48,6 +52,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 use tracing::info;
 use twox_hash::XxHash64;
 
@@ -62,20 +67,24 @@
 /// `Retry-After` of a host without a configuration: another host has one.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// `Retry-After` of a host without memory for a body: other hosts may have some, and large bodies are
-/// sent or given up in about this time.
-const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// `Retry-After` of a host without memory for a body or without a place for its caller: other hosts
+/// may have some, and large bodies are sent or given up in about this time.
+const CROWDED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Assumed timeout of a caller that specifies none, before its route is known.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a connection that is to be closed may go on sending its last response.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
 /// Serves callers until the process closes its listeners, with at most `max_connections` at a time.
 ///
 /// Without this limit, callers' connections could take all file descriptors, and no backend server
-/// or other host could be reached. Further connections wait in the listener's backlog.
+/// or other host could be reached. A further connection takes the place of one that keeps the host
+/// waiting; if there is none, it waits, and those after it wait in the listener's backlog.
 pub async fn serve<D, S>(host: Rc<Host<D, S>>, listener: TcpListener, max_connections: usize)
 where
     D: Dialect,
@@ -85,7 +94,7 @@
     let permits = Arc::new(Semaphore::new(max_connections));
     loop {
         let accepted = tokio::select! {
-            accepted = accept(&listener, &permits) => accepted,
+            accepted = accept(&host, &listener, &permits) => accepted,
             _ = stage.wait_for(|stage| *stage >= Stage::Closing) => return,
         };
         let Some((stream, permit)) = accepted else {
@@ -94,23 +103,30 @@
         host.metrics.count(metric::CALLERS, "taken");
         let host = host.clone();
         tokio::task::spawn_local(async move {
-            host.caller_connections
-                .set(host.caller_connections.get() + 1);
-            connection(host.clone(), stream).await;
-            host.caller_connections
-                .set(host.caller_connections.get() - 1);
+            connection(host, stream).await;
             drop(permit);
         });
     }
 }
 
-/// Accepts a connection once a permit is available; none once the semaphore is closed.
-async fn accept(
+/// Accepts a connection and waits for its permit; none once the semaphore is closed.
+async fn accept<D, S>(
+    host: &Host<D, S>,
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
-) -> Option<(TcpStream, OwnedSemaphorePermit)> {
-    let permit = permits.clone().acquire_owned().await.ok()?;
-    Some((accept_with_retry(listener).await, permit))
+) -> Option<(TcpStream, OwnedSemaphorePermit)>
+where
+    D: Dialect,
+    S: Source,
+{
+    let stream = accept_with_retry(listener).await;
+    let mut permit = std::pin::pin!(permits.clone().acquire_owned());
+    let permit = tokio::select! {
+        biased;
+        permit = permit.as_mut() => permit,
+        () = host.connections.make_room(), if host.is_on(Mechanism::Reclaim) => permit.await,
+    };
+    Some((stream, permit.ok()?))
 }
 
 fn limits<D, S>(host: &Host<D, S>) -> Limits {
@@ -129,9 +145,13 @@
     set_socket_options(&stream);
     let limits = limits(&host);
     let mut stage = host.stage.subscribe();
-    let shared = host.clone();
-    let caller = Rc::new(Cell::new(Caller::default()));
-    let service = service_fn(move |request| respond(shared.clone(), caller.clone(), request));
+    let caller = Caller {
+        connection: host.connections.add(),
+        timing: Rc::default(),
+    };
+    let stream = Watched::new(stream, caller.connection.clone());
+    let served = caller.clone();
+    let service = service_fn(move |request| respond(host.clone(), served.clone(), request));
     // The library has a single timeout for the wait for a request and for its head.
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -139,28 +159,58 @@
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => Some(ended),
-        _ = stage.wait_for(|stage| *stage >= Stage::Closing) => None,
-    };
-    if ended.is_none() {
-        connection.as_mut().graceful_shutdown();
+    let ending = tokio::select! {
         // An error affects only this caller.
+        _ = connection.as_mut() => return,
+        _ = stage.wait_for(|stage| *stage >= Stage::Closing) => Ending::Shutdown,
+        () = caller.connection.close_requested() => Ending::Requested,
+    };
+    let awaited = caller.connection.awaited();
+    if ending == Ending::Requested && awaited.is_some_and(Awaited::is_unread) {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
+    if ending == Ending::Shutdown {
         let _ = connection.await;
+        return;
+    }
+    while timeout(CLOSE_TIMEOUT, connection.as_mut()).await.is_err() {
+        // A request that came meanwhile is answered.
+        if !caller.connection.has_request() {
+            return;
+        }
     }
 }
 
+/// Why a connection ends while it is open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// The process closes its connections.
+    Shutdown,
+    /// The connection is closed for a newcomer.
+    Requested,
+}
+
+/// What is known of a caller on its connection.
+#[derive(Debug, Clone)]
+struct Caller {
+    connection: Rc<Connection>,
+    timing: Rc<Cell<caller::Caller>>,
+}
+
 async fn respond<D, S>(
     host: Rc<Host<D, S>>,
-    caller: Rc<Cell<Caller>>,
+    caller: Caller,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible>
 where
     D: Dialect,
     S: Source,
 {
+    caller.connection.head_came();
     let mut response = answer(&host, &caller, request).await;
-    if *host.stage.borrow() >= Stage::Leaving {
+    caller.connection.answered();
+    if *host.stage.borrow() >= Stage::Leaving || caller.connection.is_closing() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -178,7 +228,7 @@
 
 async fn answer<D, S>(
     host: &Rc<Host<D, S>>,
-    caller: &Cell<Caller>,
+    caller: &Caller,
     request: Request<Incoming>,
 ) -> Response<Bytes>
 where
@@ -186,7 +236,7 @@
     S: Source,
 {
     let arrived = host.now();
-    let read = match read_request(host, request).await {
+    let read = match read_request(host, &caller.connection, request).await {
         Ok(read) => read,
         Err(response) => return response,
     };
@@ -203,11 +253,11 @@
     };
     let plan = {
         let mut core = host.core.borrow_mut();
-        let mut known = caller.get();
+        let mut known = caller.timing.get();
         let plan = Plan::new(
             &mut core, &mut known, &route, &view, services, arrived, timeout,
         );
-        caller.set(known);
+        caller.timing.set(known);
         plan.with_fingerprint(message.fingerprint)
     };
     let id = message.id.clone();
@@ -265,6 +315,7 @@
 /// Reads a request completely and finds its route. An error is the response to send instead.
 async fn read_request<D, S>(
     host: &Rc<Host<D, S>>,
+    connection: &Connection,
     request: Request<Incoming>,
 ) -> Result<ParsedRequest, Response<Bytes>>
 where
@@ -295,7 +346,11 @@
     let timeout = info.timeout.unwrap_or(found.route.timeout);
     // A request that is complete only after its route's timeout can't be served, whatever its caller states.
     let body_timeout = timeout.min(found.route.timeout);
-    let received = receive(&host.uploads, body, limits.body_bytes, body_timeout).await;
+    let received = tokio::select! {
+        biased;
+        received = receive(&host.uploads, body, limits.body_bytes, body_timeout) => received,
+        () = connection.close_requested() => Err(receive::Failure::NoPlace),
+    };
     let (body, memory) = match received {
         Ok(received) => received,
         Err(failure) => {
@@ -303,6 +358,7 @@
             return Err(body_failure_response(failure));
         }
     };
+    connection.request_came();
     // The configuration may have changed while the body arrived. A route that is gone by now
     // existed when the request came, and is still used.
     let view = host.core.borrow().view.clone();
@@ -338,7 +394,7 @@
         receive::Failure::TooLarge => status(StatusCode::PAYLOAD_TOO_LARGE),
         receive::Failure::CutOff => status(StatusCode::BAD_REQUEST),
         receive::Failure::Late => status(StatusCode::REQUEST_TIMEOUT),
-        receive::Failure::NoMemory => unavailable(NO_MEMORY_RETRY_AFTER),
+        receive::Failure::NoMemory | receive::Failure::NoPlace => unavailable(CROWDED_RETRY_AFTER),
     }
 }
 
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -1,5 +1,6 @@
 //! State that all tasks of this process share.
 
+use crate::caller_connection::Connections;
 use crate::dialect::Dialect;
 use crate::feed_wire::Content;
 use crate::metric;
@@ -30,6 +31,7 @@
 use rand::rngs::StdRng;
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -113,8 +115,8 @@
     pub quarantine_changed: Notify,
     /// Estimated delays of requests from other hosts.
     pub delays: RefCell<Delays>,
-    /// Number of open caller connections.
-    pub caller_connections: Cell<usize>,
+    /// Callers' connections.
+    pub connections: Rc<Connections>,
     /// Last encoded update; most followers have the same revision, so it can be reused.
     // INVARIANT: None once the local state has changed.
     pub(crate) last_update: RefCell<Option<EncodedUpdate>>,
--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod body;
 pub mod body_memory;
 pub mod branch;
+pub mod caller_connection;
 pub mod daemon;
 pub mod dialect;
 mod dispatch;
@@ -32,6 +33,7 @@
 pub mod pack;
 pub mod part;
 pub mod peer;
+pub mod places;
 pub mod pool;
 pub mod quarantine;
 mod receive;
--- a/crates/lentillift-gateway/src/metric.rs
+++ b/crates/lentillift-gateway/src/metric.rs
@@ -39,6 +39,10 @@
 /// Counter of accepted caller connections.
 pub const CALLERS: &str = "lentillift_gateway_caller_connections_total";
 
+/// Gauge of the number of callers' connections closed since the start because they kept the host
+/// waiting.
+pub const CALLERS_CLOSED: &str = "lentillift_gateway_callers_closed";
+
 /// Counter of malformed datagrams.
 pub const MALFORMED: &str = "lentillift_gateway_datagrams_malformed_total";
 
--- a/crates/lentillift-gateway/src/receive.rs
+++ b/crates/lentillift-gateway/src/receive.rs
@@ -25,6 +25,8 @@
     Late,
     /// The host has no memory for it.
     NoMemory,
+    /// Its connection is closed for a newcomer.
+    NoPlace,
 }
 
 impl From<NoMemory> for Failure {
@@ -41,6 +43,7 @@
             Self::CutOff => "body cut off",
             Self::Late => "body too slow",
             Self::NoMemory => "no memory for the body",
+            Self::NoPlace => "no place for the connection",
         }
     }
 }
--- /dev/null
+++ b/crates/lentillift-gateway/tests/places.rs
@@ -0,0 +1,43 @@
+//! Which connection is closed when a host has no place for another caller.
+
+use lentillift_core::time::Time;
+use lentillift_gateway::places::Awaited;
+use lentillift_gateway::places::Places;
+use std::time::Duration;
+
+/// A time, in milliseconds after the start.
+fn at(ms: u64) -> Time {
+    Duration::from_millis(ms)
+}
+
+macro_rules! choices {
+    ($($(#[$doc:meta])* $name:ident: $(($awaited:ident, $since:expr))*; at $now:expr => $chosen:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let mut places = Places::default();
+            $(places.begin(Awaited::$awaited, at($since));)*
+            assert_eq!(places.to_close(at($now)), $chosen);
+        }
+    )*};
+}
+
+choices! {
+    /// Guards against callers that stall and keep their places while newcomers wait.
+    a_stalled_body_goes_first: (NextRequest, 0) (Body, 100) (Head, 200); at 1000 => Some(1);
+    /// Guards against silent connections that push out callers which come back.
+    a_silent_connection_goes_before_an_idle_one: (NextRequest, 0) (FirstRequest, 100); at 1000 => Some(1);
+    /// Guards against a request in the middle of its body that is closed for lack of patience.
+    an_idle_connection_goes_before_a_fresh_request: (Head, 900) (NextRequest, 950); at 1000 => Some(1);
+    /// Guards against a newcomer that waits although there is a place to take.
+    a_fresh_request_goes_last: (Body, 900) (Body, 950); at 1000 => Some(0);
+}
+
+/// Guards against a request that is cut while it is being served: nothing is awaited of its caller.
+#[test]
+fn a_connection_that_is_served_is_not_closed() {
+    let mut places = Places::default();
+    let served = places.begin(Awaited::Head, at(0));
+    places.end(served);
+    assert_eq!(places.to_close(at(9000)), None);
+}
--- a/crates/lentillift-operator/src/catalog.rs
+++ b/crates/lentillift-operator/src/catalog.rs
@@ -106,6 +106,10 @@
         "lentillift_gateway_caller_connections_total",
         "Connections of callers that were taken.",
     ),
+    (
+        "lentillift_gateway_callers_closed",
+        "Callers' connections closed since the start because they kept the host waiting.",
+    ),
     (
         "lentillift_gateway_caught_up_total",
         "Requests that waited for news because what is believed was older than its bound, by whether news came.",
--- a/crates/lentillift-scatter/src/switch.rs
+++ b/crates/lentillift-scatter/src/switch.rs
@@ -59,6 +59,8 @@
     Quarantine = "quarantine",
     /// Using leaving servers as a last resort.
     LastResort = "last-resort",
+    /// Closing connections whose callers keep the host waiting, when newcomers have no place.
+    Reclaim = "reclaim",
 }
 
 /// The set of mechanisms that are switched off; empty by default.
