Close connections whose heads are late

What callers saw: a caller that stopped short of the end of a request's head kept its place for as long as a connection may be idle, 15 s in the users' configurations, where 3 s are configured for a head.

Cause: the HTTP library has one timeout for the wait for a request and for its head, and it was set to the idle timeout.

Idle connections keep their timeout.

--- a/crates/lentillift-gateway/src/caller_connection.rs
+++ b/crates/lentillift-gateway/src/caller_connection.rs
@@ -14,6 +14,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -80,6 +81,13 @@
         }
     }
 
+    /// Closes the connections whose heads have been incomplete for longer than `timeout`.
+    pub(crate) fn close_overdue_heads(&self, timeout: Duration) {
+        let now = self.clock.now();
+        let overdue = self.places.borrow().overdue_heads(now, timeout);
+        overdue.into_iter().for_each(|ticket| self.close(ticket));
+    }
+
     fn close(&self, ticket: Ticket) {
         let connection = self.end_wait(ticket);
         if let Some(connection) = connection.and_then(|connection| connection.upgrade()) {
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -311,6 +311,8 @@
         log_stall(now.saturating_sub(last));
         last = now;
         outdated = log_outdated(&host, outdated);
+        host.connections
+            .close_overdue_heads(front::limits(&host).head_timeout);
         host.update_share();
         host.core.borrow_mut().expire_quarantine(now);
         let expired = host.catalog.borrow_mut().expire(now);
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -129,7 +129,8 @@
     Some((stream, permit.ok()?))
 }
 
-fn limits<D, S>(host: &Host<D, S>) -> Limits {
+/// Limits on callers in force.
+pub(crate) fn limits<D, S>(host: &Host<D, S>) -> Limits {
     let core = host.core.borrow();
     core.view
         .as_ref()
@@ -152,7 +153,8 @@
     let stream = Watched::new(stream, caller.connection.clone());
     let served = caller.clone();
     let service = service_fn(move |request| respond(host.clone(), served.clone(), request));
-    // The library has a single timeout for the wait for a request and for its head.
+    // The library has a single timeout for the wait for a request and for its head. Housekeeping closes
+    // connections whose heads are late.
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
@@ -187,7 +189,7 @@
 enum Ending {
     /// The process closes its connections.
     Shutdown,
-    /// The connection is closed for a newcomer.
+    /// Its caller keeps the host waiting.
     Requested,
 }
 
--- a/crates/lentillift-gateway/src/places.rs
+++ b/crates/lentillift-gateway/src/places.rs
@@ -91,4 +91,12 @@
         let idle = self.idle.first_key_value();
         late.or(idle).or(unfinished).map(|(ticket, _)| *ticket)
     }
+
+    /// Returns the connections whose heads have been incomplete for longer than `timeout`.
+    pub fn overdue_heads(&self, now: Time, timeout: Duration) -> Vec<Ticket> {
+        let waits = self.unfinished.iter();
+        let overdue = waits.take_while(|(_, wait)| now.saturating_sub(wait.since) > timeout);
+        let heads = overdue.filter(|(_, wait)| wait.awaited == Awaited::Head);
+        heads.map(|(ticket, _)| *ticket).collect()
+    }
 }
--- a/crates/lentillift-gateway/tests/places.rs
+++ b/crates/lentillift-gateway/tests/places.rs
@@ -41,3 +41,16 @@
     places.end(served);
     assert_eq!(places.to_close(at(9000)), None);
 }
+
+/// Guards against heads that are awaited without an end, and against bodies and silent connections taken for them.
+#[test]
+fn only_heads_become_overdue() {
+    let mut places = Places::default();
+    places.begin(Awaited::FirstRequest, at(0));
+    let head = places.begin(Awaited::Head, at(0));
+    let body = places.begin(Awaited::Head, at(0));
+    places.begin_body(body);
+    places.begin(Awaited::Head, at(1000));
+    assert!(places.overdue_heads(at(3000), at(3000)).is_empty());
+    assert_eq!(places.overdue_heads(at(3001), at(3000)), [head]);
+}
