Copy small parts of bodies at the product's own interface

What callers saw: at the product's own interface a body of 64 KB in chunks of one byte took 2.5 MB, so that a few hundred callers whose bodies stop short would take all memory of a host.

Cause: the same as at the users' platform: each part of a body was kept as it came, by the listener that three packages share. Each connection also read up to 400 KB at a time, the library's default, which the rest of a body kept.

Why the fix works: the type that puts together bodies moves to the listener's package and is used there too. A head has 16 KiB at most, which is also what a connection reads at a time.

--- a/crates/lentillift-gateway/src/lib.rs
+++ b/crates/lentillift-gateway/src/lib.rs
@@ -9,7 +9,6 @@
 
 #![forbid(unsafe_code)]
 
-pub mod body;
 pub mod body_memory;
 pub mod branch;
 pub mod caller_connection;
--- a/crates/lentillift-gateway/src/pool.rs
+++ b/crates/lentillift-gateway/src/pool.rs
@@ -6,7 +6,6 @@
 //! therefore dropped before the server's idle timeout, and well before it for requests that must
 //! run at most once.
 
-use crate::body::Body;
 use crate::body_memory::BodyMemory;
 use crate::body_memory::Growth;
 use crate::body_memory::Reservation;
@@ -23,6 +22,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use lentillift_core::id;
+use lentillift_http::body::Body;
 use lentillift_scatter::config::Kind;
 use lentillift_scatter::server::Server;
 use socket2::SockRef;
--- a/crates/lentillift-gateway/src/upload.rs
+++ b/crates/lentillift-gateway/src/upload.rs
@@ -1,12 +1,12 @@
 //! Bodies of callers' requests that are being received, within the memory that the host has for them.
 
-use crate::body::Body;
 use crate::body_memory::BodyMemory;
 use crate::body_memory::Growth;
 use crate::body_memory::Reservation;
 use crate::waiting::Ticket;
 use crate::waiting::Waiting;
 use bytes::Bytes;
+use lentillift_http::body::Body;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/crates/lentillift-http/src/lib.rs
+++ b/crates/lentillift-http/src/lib.rs
@@ -8,4 +8,5 @@
 
 #![forbid(unsafe_code)]
 
+pub mod body;
 pub mod listener;
--- a/crates/lentillift-http/src/listener.rs
+++ b/crates/lentillift-http/src/listener.rs
@@ -1,12 +1,12 @@
 //! The accept loop and the handling of one connection.
 
+use crate::body::Body;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,6 +27,9 @@
 /// Delay after a failed `accept`, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Largest head of a request, in bytes. A connection reads as much at a time.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
 /// Limits and timeouts of a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
@@ -113,6 +116,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(options.head_timeout)
+        .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
@@ -136,19 +140,41 @@
     F: Future<Output = Response<Bytes>>,
 {
     let (head, body) = request.into_parts();
-    let body = Limited::new(body, options.body_limit).collect();
-    let response = match tokio::time::timeout(options.body_timeout, body).await {
-        Ok(Ok(body)) => handler(Request::from_parts(head, body.to_bytes())).await,
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+    let received = receive(body, options.body_limit);
+    let response = match tokio::time::timeout(options.body_timeout, received).await {
+        Ok(Ok(body)) => handler(Request::from_parts(head, body)).await,
+        Ok(Err(Failure::TooLarge)) => {
             let detail = format!("body: at most {} bytes are right", options.body_limit);
             plain(StatusCode::PAYLOAD_TOO_LARGE, detail)
         }
-        Ok(Err(_)) => plain(StatusCode::BAD_REQUEST, "body: cut off".to_owned()),
+        Ok(Err(Failure::CutOff)) => plain(StatusCode::BAD_REQUEST, "body: cut off".to_owned()),
         Err(_) => plain(StatusCode::REQUEST_TIMEOUT, "body: too slow".to_owned()),
     };
     Ok(response.map(Full::new))
 }
 
+/// Why a body was not received.
+enum Failure {
+    TooLarge,
+    CutOff,
+}
+
+/// Receives a body of at most `limit` bytes.
+async fn receive(mut incoming: Incoming, limit: usize) -> Result<Bytes, Failure> {
+    let mut body = Body::default();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|_| Failure::CutOff)?;
+        let Ok(part) = frame.into_data() else {
+            continue;
+        };
+        if body.len() + part.len() > limit {
+            return Err(Failure::TooLarge);
+        }
+        body.push(part);
+    }
+    Ok(body.finish())
+}
+
 /// Creates a plain-text response; a line feed is appended to `text`.
 pub fn plain(status: StatusCode, text: String) -> Response<Bytes> {
     let mut response = Response::new(Bytes::from(text + "\n"));
--- a/crates/lentillift-gateway/tests/body.rs
+++ b/crates/lentillift-http/tests/body.rs
@@ -1,7 +1,7 @@
 //! Bodies that come in parts.
 
 use bytes::Bytes;
-use lentillift_gateway::body::Body;
+use lentillift_http::body::Body;
 use proptest::prelude::*;
 
 proptest! {
