Leave callers their places for half a second

Callers with one request after the other would push each other out.

Cause: an idle connection could be closed at once, and a request that had just begun if there was no idle one.

Why the fix works: a place is taken only from a caller that has kept the host waiting for half a second; until then the newcomer waits.

--- a/crates/lentillift-gateway/src/caller_connection.rs
+++ b/crates/lentillift-gateway/src/caller_connection.rs
@@ -2,6 +2,7 @@
 
 use crate::places::Awaited;
 use crate::places::Places;
+use crate::places::Room;
 use crate::places::Ticket;
 use lentillift_core::time::Clock;
 use std::cell::Cell;
@@ -70,14 +71,17 @@
         connection
     }
 
-    /// Closes a connection for a newcomer, as soon as there is one that is not being served.
+    /// Closes a connection for a newcomer, as soon as one has kept the host waiting for long enough.
     pub(crate) async fn make_room(&self) {
         loop {
-            let chosen = self.places.borrow().to_close(self.clock.now());
-            if let Some(ticket) = chosen {
-                return self.close(ticket);
+            let now = self.clock.now();
+            let room = self.places.borrow().make_room(now);
+            let began_to_wait = self.began_to_wait.notified();
+            match room {
+                Room::Close(ticket) => return self.close(ticket),
+                Room::Later(at) => tokio::time::sleep(at.saturating_sub(now)).await,
+                Room::Served => began_to_wait.await,
             }
-            self.began_to_wait.notified().await;
         }
     }
 
--- a/crates/lentillift-gateway/src/places.rs
+++ b/crates/lentillift-gateway/src/places.rs
@@ -4,17 +4,18 @@
 //! short of its end. They take all connections that the host may have, and ordinary callers wait in
 //! the listener's backlog until one of them leaves.
 //!
-//! So a newcomer takes the place of a caller that keeps the host waiting. First come the connections
-//! whose request the host has awaited for longer than an ordinary one takes, then idle ones that
-//! served a request before, then the other unfinished ones; among equals the one that the host has
-//! awaited longest. A connection whose request is being served is never closed.
+//! So a newcomer takes the place of a caller that keeps the host waiting for longer than an ordinary
+//! one: of the one that the host has awaited longest, with an unfinished or a first request, or else
+//! of the one that was idle longest. Callers that send one request after the other keep their places,
+//! and a connection whose request is being served is never closed.
 
 use lentillift_core::time::Time;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time within which an ordinary caller sends a request.
-const USUAL_REQUEST_TIME: Duration = Duration::from_millis(500);
+/// Time for which a caller may keep the host waiting while others have no place. An ordinary caller
+/// sends a request in less, and gives up a host that has not read its request after twice as much.
+const PATIENCE: Duration = Duration::from_millis(500);
 
 /// Number of a wait for a caller, in the order of their beginnings.
 pub type Ticket = u64;
@@ -54,6 +55,24 @@
     since: Time,
 }
 
+impl Wait {
+    /// Time from which its place may be taken.
+    fn late_at(&self) -> Time {
+        self.since + PATIENCE
+    }
+}
+
+/// What makes room for a newcomer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// Closing this connection.
+    Close(Ticket),
+    /// Asking again at this time.
+    Later(Time),
+    /// The end of a request: all connections are being served.
+    Served,
+}
+
 impl Places {
     /// Begins to wait for a caller; returns the number of the wait.
     pub fn begin(&mut self, awaited: Awaited, now: Time) -> Ticket {
@@ -83,13 +102,17 @@
         self.idle.remove(&ticket);
     }
 
-    /// Returns the connection to close for a newcomer; none if all are being served.
-    pub fn to_close(&self, now: Time) -> Option<Ticket> {
+    /// Decides what makes room for a newcomer.
+    pub fn make_room(&self, now: Time) -> Room {
         let unfinished = self.unfinished.first_key_value();
-        let is_late = |wait: &Wait| now.saturating_sub(wait.since) > USUAL_REQUEST_TIME;
-        let late = unfinished.filter(|(_, wait)| is_late(wait));
         let idle = self.idle.first_key_value();
-        late.or(idle).or(unfinished).map(|(ticket, _)| *ticket)
+        let longest = [unfinished, idle].into_iter().flatten();
+        let mut late = longest.clone().filter(|(_, wait)| wait.late_at() <= now);
+        if let Some((ticket, _)) = late.next() {
+            return Room::Close(*ticket);
+        }
+        let next = longest.map(|(_, wait)| wait.late_at()).min();
+        next.map_or(Room::Served, Room::Later)
     }
 
     /// Returns the connections whose heads have been incomplete for longer than `timeout`.
