--- a/crates/lentillift-gateway/src/places.rs
+++ b/crates/lentillift-gateway/src/places.rs
@@ -17,7 +17,7 @@
 /// sends a request in less, and gives up a host that has not read its request after twice as much.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-/// Number of a wait for a caller, in the order of their beginnings.
+/// Number of a wait for a caller; one that begins later has a higher one.
 pub type Ticket = u64;
 
 /// What a host awaits on a connection.
--- a/crates/lentillift-gateway/src/waiting.rs
+++ b/crates/lentillift-gateway/src/waiting.rs
@@ -15,7 +15,7 @@
 /// connections for leave half of the memory to others.
 const MIN_BODY_BYTES: usize = 16 * 1024;
 
-/// Number of a request in the order of their beginnings.
+/// Number of a request; one that begins later has a higher one.
 pub type Ticket = u64;
 
 /// Requests that have begun and are not complete.
