Watch callers' streams with the library's reader

The wrapper that told a connection when bytes came repeated tokio-util's InspectReader. No behaviour changes; the tests of crowds, of the front end, of places, refusals and shutdown pass.

--- a/crates/lentillift-gateway/src/caller_connection.rs
+++ b/crates/lentillift-gateway/src/caller_connection.rs
@@ -8,17 +8,9 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::rc::Weak;
-use std::task::Context;
-use std::task::Poll;
-use std::task::ready;
 use std::time::Duration;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 
 /// All open connections of callers.
@@ -125,8 +117,11 @@
 }
 
 impl Connection {
-    /// Records that bytes came.
-    fn bytes_came(self: &Rc<Self>) {
+    /// Records that bytes were read; at the end of the stream there are none.
+    pub(crate) fn was_read(self: &Rc<Self>, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
         match self.stage.get() {
             Stage::Waiting {
                 awaited: Awaited::FirstRequest | Awaited::NextRequest,
@@ -208,68 +203,3 @@
         self.all.open.set(self.all.open.get() - 1);
     }
 }
-
-/// A caller's stream, which tells its connection when bytes come.
-#[derive(Debug)]
-pub(crate) struct Watched<T> {
-    stream: T,
-    connection: Rc<Connection>,
-}
-
-impl<T> Watched<T> {
-    /// Watches `stream` for `connection`.
-    pub(crate) fn new(stream: T, connection: Rc<Connection>) -> Self {
-        Self { stream, connection }
-    }
-}
-
-impl<T> AsyncRead for Watched<T>
-where
-    T: AsyncRead + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
-        if buffer.filled().len() > before {
-            self.connection.bytes_came();
-        }
-        Poll::Ready(result)
-    }
-}
-
-impl<T> AsyncWrite for Watched<T>
-where
-    T: AsyncWrite + Unpin,
-{
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -1,7 +1,6 @@
 //! Front end: callers' connections and requests.
 
 use crate::caller_connection::Connection;
-use crate::caller_connection::Watched;
 use crate::dialect::Dialect;
 use crate::dialect::RequestInfo;
 use crate::host::Host;
@@ -53,6 +52,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
+use tokio_util::io::InspectReader;
 use tracing::info;
 use twox_hash::XxHash64;
 
@@ -150,7 +150,8 @@
         connection: host.connections.add(),
         timing: Rc::default(),
     };
-    let stream = Watched::new(stream, caller.connection.clone());
+    let read = caller.connection.clone();
+    let stream = InspectReader::new(stream, move |bytes| read.was_read(bytes));
     let served = caller.clone();
     let service = service_fn(move |request| respond(host.clone(), served.clone(), request));
     // The library has a single timeout for the wait for a request and for its head. Housekeeping closes
