Make room for a newcomer until it has its permit

A connection that was chosen to be closed is served first if its request came meanwhile, for as long as that takes, and the newcomer waited for that one.

--- a/crates/lentillift-gateway/src/branch/answer.rs
+++ b/crates/lentillift-gateway/src/branch/answer.rs
@@ -60,7 +60,7 @@
     let delay = check_delay(host, &request)?;
     // What remains is the caller's body.
     memory.shrink_to(request.body.len());
-    let message = request.message(memory)?;
+    let message = Message::try_from((&request, memory))?;
     let branch = Branch::start(host, view, request, message, instructions, delay)?;
     Ok(frame::body(stream::unfold(
         branch,
--- a/crates/lentillift-gateway/src/branch/wire.rs
+++ b/crates/lentillift-gateway/src/branch/wire.rs
@@ -208,12 +208,14 @@
     }
 }
 
-impl BranchRequest {
-    /// Builds the caller's request, whose body holds `memory`.
-    pub(super) fn message(&self, memory: Reservation) -> Result<Message> {
+/// The caller's request, whose body holds the reserved memory.
+impl TryFrom<(&BranchRequest, Reservation)> for Message {
+    type Error = Error;
+
+    fn try_from((request, memory): (&BranchRequest, Reservation)) -> Result<Self> {
         let fail = |e: &dyn std::fmt::Display| Error::new(Step::Decode, "host", e);
         let mut headers = HeaderMap::new();
-        for (name, value) in &self.headers {
+        for (name, value) in &request.headers {
             let name: HeaderName = name.parse().map_err(|e| fail(&e))?;
             let value = HeaderValue::from_bytes(value).map_err(|e| fail(&e))?;
             headers.append(name, value);
@@ -224,14 +226,14 @@
             authority,
             body,
             ..
-        } = self;
-        Ok(Message {
+        } = request;
+        Ok(Self {
             fingerprint: Fingerprint::of(method, authority, path, body),
-            method: self.method.parse().map_err(|e| fail(&e))?,
-            path: self.path.parse().map_err(|e| fail(&e))?,
+            method: request.method.parse().map_err(|e| fail(&e))?,
+            path: request.path.parse().map_err(|e| fail(&e))?,
             headers,
-            body: self.body.clone().into(),
-            id: self.id.as_str().into(),
+            body: request.body.clone().into(),
+            id: request.id.as_str().into(),
             memory,
         })
     }
--- a/crates/lentillift-gateway/src/front.rs
+++ b/crates/lentillift-gateway/src/front.rs
@@ -1,6 +1,7 @@
 //! Front end: callers' connections and requests.
 
 use crate::caller_connection::Connection;
+use crate::caller_connection::Connections;
 use crate::dialect::Dialect;
 use crate::dialect::RequestInfo;
 use crate::host::Host;
@@ -124,11 +125,19 @@
     let permit = tokio::select! {
         biased;
         permit = permit.as_mut() => permit,
-        () = host.connections.make_room(), if host.is_on(Mechanism::Reclaim) => permit.await,
+        never = make_room(&host.connections), if host.is_on(Mechanism::Reclaim) => match never {},
     };
     Some((stream, permit.ok()?))
 }
 
+/// Closes a connection after another until this is dropped, since one whose request came meanwhile ends only after it.
+async fn make_room(connections: &Connections) -> Infallible {
+    loop {
+        connections.make_room().await;
+        tokio::time::sleep(CLOSE_TIMEOUT).await;
+    }
+}
+
 /// Limits on callers in force.
 pub(crate) fn limits<D, S>(host: &Host<D, S>) -> Limits {
     let core = host.core.borrow();
