--- a/review/standin-2/src/drain.rs
+++ b/review/standin-2/src/drain.rs
@@ -26,6 +26,9 @@
 /// Number of times that a server leaves.
 const ROUNDS: usize = 7;
 
+/// The moments of the cuts are spread over the second between two watches by this step a round.
+const SPREAD: Duration = Duration::from_millis(150);
+
 /// Time from the cut to the server's leave.
 const CUT_AHEAD: Duration = Duration::from_millis(100);
 
@@ -102,6 +105,7 @@
     for round in 0..ROUNDS {
         thread::sleep(CONTACT + Duration::from_secs(1));
         let cut_host = has_trouble.then(|| reader(&hosts));
+        thread::sleep(SPREAD * round as u32);
         if let Some(index) = cut_host {
             hosts[index].link.cut();
             record.note(format!("host {index} is cut off from the store"));
