--- a/review/standin-2/src/drain.rs
+++ b/review/standin-2/src/drain.rs
@@ -36,7 +36,7 @@
 const CUT: Duration = Duration::from_millis(4000);
 
 /// Time for which a server serves on after its leave: `drain_ms` and a little longer. Then it exits.
-const SERVES_ON: Duration = Duration::from_millis(3500);
+const SERVES_ON: Duration = Duration::from_millis(3150);
 
 /// The machines of `ksps-lentil`.
 const SIX_HOSTS: [(&str, &str); 6] = [
