Tell an outage of the store from a host that is cut off from it

Callers' requests reached backend servers up to 3.4 s after these had left, 3.0 s being allowed, while the host that reads the store for the others was cut off from it; what the servers still had when they exited was lost.

Cause: one host's failed call was recorded as an outage of the store and passed on to its followers as such. After an outage the server of a removed entry is kept for 2.2 s from the moment at which a host hears of the removal, as the entry may have lapsed because nobody could renew it. The followers heard of both in the same moment, 1.5 s late.

The store answered all along.

Fix: a host that reads the store counts it as unavailable once its own calls and those of another host have failed; a host that is alone has only its own calls. Followers are told the judgement of the host that read their state. In a cut of one host no other host has a failed call, so the grace counts from the last confirmation; in an outage every host that looks for an origin has one. A host with outdated state no longer serves from it at once because another host was cut off. The switch is `witnesses`; the log line of an entry that is gone now states how long the server is kept and when the last outage was.

The feed's message has the same form; the age of an outage in it is now that of the reader's judgement, or of the sender's own failed call.

--- a/crates/lentillift-fleet/src/follow.rs
+++ b/crates/lentillift-fleet/src/follow.rs
@@ -18,6 +18,7 @@
 //! by its age, and hosts that follow each other in a ring show by the relay path. Followers then
 //! try the next origin in their order, which includes the service itself.
 
+pub mod outage;
 pub mod proof;
 pub mod relay_path;
 pub mod search;
--- a/crates/lentillift-gateway/src/daemon.rs
+++ b/crates/lentillift-gateway/src/daemon.rs
@@ -247,7 +247,7 @@
         catalog: RefCell::new(Catalog::default()),
         swim: RefCell::new(swim),
         verified_at: Cell::new(None),
-        outage_at: Cell::new(None),
+        outage: RefCell::default(),
         freshness: settings.freshness,
         origin_reachable: Cell::new(true),
         origin: RefCell::new(None),
--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -94,7 +94,7 @@
         );
         search.left(&origin, search::LeaveReason::Failed, host.now());
         if origin == Origin::Service {
-            host.record_outage(Duration::ZERO);
+            host.record_own_failure();
             // Otherwise followers would detect this only by the age of its state, two thirds of the
             // bound later.
             host.origin_reachable.set(false);
@@ -261,8 +261,6 @@
     S: Source,
 {
     let fail = |cause: &dyn std::fmt::Display| Error::new(Step::Check, name, cause);
-    let sender_path: Vec<id::Host> = frame.path.iter().map(|host| host.as_str().into()).collect();
-    let path = RelayPath::extend(&sender_path, &host.name).map_err(|refused| fail(&refused))?;
     let recorded = check.record_answer(frame.answered_query);
     recorded.map_err(|unknown| fail(&unknown))?;
     let is_checked = host.is_on(Mechanism::Proofs);
@@ -273,8 +271,14 @@
             false => sent_age,
         }
     };
-    if let Some(outage_age_ms) = frame.outage_age_ms {
-        host.record_outage(age(outage_age_ms));
+    let outage_age = frame.outage_age_ms.map(age);
+    if let Some(failure_age) = outage_age.filter(|_| !frame.origin_reachable) {
+        host.record_other_failure(failure_age);
+    }
+    let sender_path: Vec<id::Host> = frame.path.iter().map(|host| host.as_str().into()).collect();
+    let path = RelayPath::extend(&sender_path, &host.name).map_err(|refused| fail(&refused))?;
+    if let Some(outage_age) = outage_age.filter(|_| frame.origin_reachable) {
+        host.record_outage(outage_age);
     }
     if let Some(age_ms) = frame.age_ms {
         let update = frame
--- a/crates/lentillift-gateway/src/feed/serve.rs
+++ b/crates/lentillift-gateway/src/feed/serve.rs
@@ -105,12 +105,17 @@
         let host = &self.host;
         let update = host.update_after(self.after)?;
         let path = host.path.borrow();
+        let origin_reachable = host.origin_reachable.get();
+        let outage_age = match origin_reachable {
+            true => host.time_since_reported_outage(),
+            false => host.time_since_own_failure(),
+        };
         let message = Frame {
             answered_query: self.last_query,
             age_ms: host.age().map(millis_rounded_up),
-            origin_reachable: host.origin_reachable.get(),
+            origin_reachable,
             path: path.hosts().iter().map(|host| host.to_string()).collect(),
-            outage_age_ms: host.time_since_outage().map(millis_rounded_up),
+            outage_age_ms: outage_age.map(millis_rounded_up),
             update,
         };
         let bytes = frame::frame(&message, "follower")?;
--- a/crates/lentillift-gateway/src/feed_wire.rs
+++ b/crates/lentillift-gateway/src/feed_wire.rs
@@ -22,13 +22,15 @@
     /// Age of the sender's state when this message was written, in milliseconds; none if it has no
     /// state.
     pub(crate) age_ms: Option<u32>,
-    /// Whether the sender reaches its own origin, as far as it knows.
+    /// Whether the sender reaches its own origin, as far as it knows. If not, its last call to the
+    /// configuration service has failed.
     pub(crate) origin_reachable: bool,
     /// Hosts through which the sender's state came, from the one that read it from the service to
     /// the sender; empty if it has no state.
     pub(crate) path: Vec<String>,
-    /// Time since the configuration service was last known to be unavailable, in milliseconds; none
-    /// if it never was.
+    /// Time in milliseconds since the configuration service was last unavailable, according to the
+    /// host that read the sender's state; from a sender that doesn't reach its origin, since its own
+    /// last call failed. None if there was no such time.
     pub(crate) outage_age_ms: Option<u32>,
     pub(crate) update: Option<Content>,
 }
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -1,5 +1,7 @@
 //! State that all tasks of this process share.
 
+mod availability;
+
 use crate::caller_connection::Connections;
 use crate::dialect::Dialect;
 use crate::feed_wire::Content;
@@ -17,6 +19,7 @@
 use lentillift_fleet::follow;
 use lentillift_fleet::follow::Admission;
 use lentillift_fleet::follow::Origin;
+use lentillift_fleet::follow::outage::Evidence;
 use lentillift_fleet::follow::relay_path::RelayPath;
 use lentillift_fleet::swim::Swim;
 use lentillift_scatter::catalog::Catalog;
@@ -61,10 +64,14 @@
 /// Origin and age of an update, for the log.
 struct Provenance {
     origin: Option<Origin>,
+    /// When the update was applied.
+    at: Time,
     /// Age of the update.
     age: Duration,
     /// Age of the local state just before the update; none before the first one.
     previous_age: Option<Duration>,
+    /// Time since the last outage of the service; none if there was none.
+    since_outage: Option<Duration>,
 }
 
 /// State that all tasks of this process share.
@@ -97,8 +104,8 @@
     pub swim: RefCell<Swim<StdRng>>,
     /// When the local state was last verified to be complete; none before the first update.
     pub verified_at: Cell<Option<Time>>,
-    /// When the configuration service was last known to be unavailable; none if it never was.
-    pub outage_at: Cell<Option<Time>>,
+    /// Failed calls to the configuration service.
+    pub outage: RefCell<Evidence>,
     /// Bounds on the age of the published state.
     pub freshness: follow::Options,
     /// False after the configuration service failed for this host, until it follows another origin
@@ -165,8 +172,10 @@
         let now = self.now();
         let provenance = Provenance {
             origin: self.origin.borrow().clone(),
+            at: now,
             age,
             previous_age: self.age(),
+            since_outage: self.time_since_outage(),
         };
         if let Some(update) = update {
             let source = &self.source;
@@ -197,24 +206,11 @@
     fn lapse_grace(&self) -> Grace {
         let before = LastKnown {
             confirmed_at: self.verified_at.get(),
-            unavailable_at: self.outage_at.get(),
+            unavailable_at: self.outage_at(),
         };
         Grace::within(self.freshness.bound, self.now(), before)
     }
 
-    /// Records that the configuration service was unavailable until `age` ago, as seen by this host
-    /// or reported by its origin.
-    pub fn record_outage(&self, age: Duration) {
-        let at = Some(self.now().saturating_sub(age));
-        self.outage_at.set(self.outage_at.get().max(at));
-    }
-
-    /// Time since the configuration service was last known to be unavailable; none if it never was.
-    pub fn time_since_outage(&self) -> Option<Duration> {
-        let at = self.outage_at.get()?;
-        Some(self.now().saturating_sub(at))
-    }
-
     /// Records the path of the local state, and notifies followers at once if it changes: a
     /// follower may find itself on it, which is a cycle.
     pub fn set_path(&self, path: RelayPath) {
@@ -231,12 +227,15 @@
         Some(self.now().saturating_sub(verified_at))
     }
 
-    /// Whether a request is served from the local state now, or waits for an update.
+    /// Whether a request is served from the local state now, or waits for an update. Waiting is
+    /// useless if nobody, or not this host, could read a newer one.
     fn admit(&self) -> Admission {
-        match self.age().filter(|_| self.is_on(Mechanism::CatchUp)) {
-            Some(age) => self.freshness.admit(age, self.time_since_outage()),
-            None => Admission::Serve,
-        }
+        let Some(age) = self.age().filter(|_| self.is_on(Mechanism::CatchUp)) else {
+            return Admission::Serve;
+        };
+        let failures = [self.time_since_outage(), self.time_since_own_failure()];
+        let since_unavailable = failures.into_iter().flatten().min();
+        self.freshness.admit(age, since_unavailable)
     }
 
     /// Waits, for at most `limit`, until the local state is fresh enough to serve from.
@@ -341,7 +340,15 @@
         Change::Server(backend, stage) => {
             info!(event = "backend", %backend, ?stage, revision, "published");
         }
-        Change::Lapsed(backend) => info!(event = "backend", %backend, revision, "entry gone"),
+        Change::Lapsed(backend, until) => info!(
+            event = "backend",
+            %backend,
+            revision,
+            age_ms = provenance.age.as_millis() as u64,
+            usable_ms = until.saturating_sub(provenance.at).as_millis() as u64,
+            outage_ms = provenance.since_outage.map(|since| since.as_millis() as u64),
+            "entry gone"
+        ),
         Change::Evacuation(domain, out) => {
             info!(event = "evacuation", %domain, out, revision, "changed");
         }
--- a/crates/lentillift-gateway/tests/ages.rs
+++ b/crates/lentillift-gateway/tests/ages.rs
@@ -338,6 +338,33 @@
     });
 }
 
+/// Another host is cut off from the service. Taken for an outage, this made hosts serve from old
+/// state although they could read the newer one.
+#[test]
+fn an_outdated_host_awaits_an_update_that_another_host_cannot_read() {
+    run(async {
+        let (served, _first, second) = outdated_host().await;
+        let (_listener, node) = listener().await;
+        let other = host("other", "a", node, MemorySource::default());
+        other.swim.borrow_mut().serve();
+        introduce(&other, &served.host);
+        served.host.record_other_failure(Duration::ZERO);
+        let answer = request_before_update(&served, missed_update(&second)).await;
+        assert!(answer.ends_with("second"), "{answer}");
+    });
+}
+
+/// A host can't reach the service, and hears of nothing newer. Its callers would wait in vain.
+#[test]
+fn a_host_whose_own_call_failed_serves_old_state_at_once() {
+    run(async {
+        let (served, _first, second) = outdated_host().await;
+        served.host.record_own_failure();
+        let answer = request_before_update(&served, missed_update(&second)).await;
+        assert!(answer.ends_with("first"), "{answer}");
+    });
+}
+
 /// A host is cut off from all origins. Its callers are served from the state that it has.
 #[test]
 fn an_isolated_host_serves_from_its_state() {
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -118,6 +118,8 @@
     pub last_response: Rc<Cell<Option<Instant>>>,
     /// Whether the next watch gets no response.
     pub is_silent: Rc<Cell<bool>>,
+    /// Whether calls time out, as behind a broken link.
+    pub is_cut: Rc<Cell<bool>>,
     /// Update that the next answered watch returns.
     pub next_update: Rc<RefCell<Option<Update>>>,
 }
@@ -135,11 +137,21 @@
             false => Ok(()),
         }
     }
+
+    /// Fails after `timeout` if the link is broken.
+    async fn check_link(&self, timeout: Duration) -> Result<()> {
+        if !self.is_cut.get() {
+            return Ok(());
+        }
+        tokio::time::sleep(timeout).await;
+        Err(Error::new(Step::Read, "service", "no answer in time"))
+    }
 }
 
 impl Source for MemorySource {
-    async fn read(&self, _silence: Duration) -> Result<Update> {
+    async fn read(&self, silence: Duration) -> Result<Update> {
         self.check_available()?;
+        self.check_link(silence).await?;
         let items = self.items.clone();
         self.send_response().await;
         Ok(Update::All { revision: 1, items })
@@ -149,13 +161,15 @@
         &self,
         after: id::Revision,
         wait: Duration,
-        _silence: Duration,
+        silence: Duration,
     ) -> Result<WatchResult> {
         self.check_available()?;
+        self.check_link(wait + silence).await?;
         if self.is_silent.replace(false) {
             std::future::pending::<()>().await;
         }
         if let Some(update) = self.next_update.take() {
+            self.send_response().await;
             return Ok(WatchResult::Changes(update));
         }
         tokio::time::sleep(wait).await;
--- a/crates/lentillift-scatter/src/catalog.rs
+++ b/crates/lentillift-scatter/src/catalog.rs
@@ -89,8 +89,8 @@
     },
     /// A backend server published an entry with this stage.
     Server(id::Backend, Stage),
-    /// The entry of this backend server is gone.
-    Lapsed(id::Backend),
+    /// The entry of this backend server is gone; until when it may be used as a last resort.
+    Lapsed(id::Backend, Time),
     /// A failure domain was evacuated (true), or may be used again (false).
     Evacuation(id::Domain, bool),
 }
@@ -276,13 +276,13 @@
         }
         if let Some(server) = held.server {
             let backend = server.entry.id.clone();
-            changes.push(Change::Lapsed(backend.clone()));
             let until = self.grace.map_or(now, |grace| grace.lapsed);
             let until = self
                 .processes
                 .entry(backend.clone())
                 .or_default()
                 .mark_leaving(until);
+            changes.push(Change::Lapsed(backend.clone(), until));
             let server = Server {
                 last_resort_until: Some(until),
                 ..(*server).clone()
--- a/crates/lentillift-scatter/src/switch.rs
+++ b/crates/lentillift-scatter/src/switch.rs
@@ -59,6 +59,8 @@
     Quarantine = "quarantine",
     /// Using leaving servers as a last resort.
     LastResort = "last-resort",
+    /// Counting the service as unavailable only once calls of two hosts have failed.
+    Witnesses = "witnesses",
     /// Closing connections whose callers keep the host waiting, when newcomers have no place.
     Reclaim = "reclaim",
 }
