Test replies that stop at each place of head and body

Reported of other systems: a backend server stops in the middle of its answer's head and closes, and clients get a 200 with an empty or short body. Here it does not happen; no product code is changed by this commit.

--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -417,6 +417,8 @@
     Write(String),
     /// Writes the reply and closes the connection.
     WriteAndClose(String),
+    /// Writes the reply and ends its own direction of the connection.
+    WriteAndShutDown(String),
     /// Writes the reply and resets the connection.
     WriteAndReset(String),
     /// Writes the reply after a delay and keeps the connection open.
@@ -468,6 +470,10 @@
                 stream.write_all(&bytes(&text)).await.expect("written");
                 return;
             }
+            Reaction::WriteAndShutDown(text) => {
+                stream.write_all(&bytes(&text)).await.expect("written");
+                stream.shutdown().await.expect("shut down");
+            }
             Reaction::WriteAndReset(text) => {
                 stream.write_all(&bytes(&text)).await.expect("written");
                 // The reply must be read before the reset discards it.
--- a/crates/lentillift-gateway/tests/frames.rs
+++ b/crates/lentillift-gateway/tests/frames.rs
@@ -36,6 +36,16 @@
     let encoded = frame::frame(&Large { content }, "follower").expect("it can be encoded");
     let size = encoded.len().div_ceil(parts);
     let pieces: Vec<Bytes> = encoded.chunks(size).map(Bytes::copy_from_slice).collect();
+    receive_pieces(pieces, pause, silence).await
+}
+
+/// Reads one message that arrives in `pieces`, with a pause before each, and then the end of the
+/// stream; gives up after `silence` without data.
+async fn receive_pieces(
+    pieces: Vec<Bytes>,
+    pause: Duration,
+    silence: Duration,
+) -> Result<(Large, MessageSize)> {
     let (client_end, server_end) = tokio::io::duplex(PIPE);
     let service = service_fn(move |_: Request<Incoming>| {
         let slow = stream::iter(pieces.clone()).then(move |piece| async move {
@@ -111,3 +121,19 @@
         assert!(read.is_err());
     });
 }
+
+/// An origin ends its stream within a message, as when its process exits. Guards against a follower
+/// that takes the beginning for a whole message.
+#[test]
+fn a_message_that_stops_is_an_error() {
+    run(async {
+        let content = (0..40).collect();
+        let encoded = frame::frame(&Large { content }, "follower").expect("it can be encoded");
+        for end in 0..encoded.len() {
+            let pieces = vec![encoded.slice(..end)];
+            let read = receive_pieces(pieces, Duration::ZERO, Duration::from_secs(1)).await;
+            let error = read.expect_err("an error").to_string();
+            assert!(error.contains("ended"), "{end}: {error}");
+        }
+    });
+}
--- a/crates/lentillift-platform/tests/fuzz.rs
+++ b/crates/lentillift-platform/tests/fuzz.rs
@@ -85,3 +85,43 @@
     with_body(&b" ".repeat(2 * 1024 * 1024)),
     Read
 );
+
+/// Starts a service that responds to its requests in turn with each beginning of `response` that is
+/// shorter than `end` bytes, and closes each connection.
+fn stopping_service(response: String, end: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for end in 1..end {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(&response.as_bytes()[..end]);
+        }
+    });
+    address
+}
+
+macro_rules! stopped_values {
+    ($($name:ident: $head:expr, $body:expr, $rest:expr;)*) => {$(
+        /// Guards against a response that stops, and is taken for a shorter value.
+        #[test]
+        fn $name() {
+            let response = format!("{}\r\n\r\n{}{}", $head, $body, $rest);
+            let end = response.len() - $rest.len();
+            let client = Client::new(stopping_service(response, end));
+            for turn in 1..end {
+                let value = client.value("config");
+                assert!(value.is_err(), "{turn}: {value:?}");
+            }
+        }
+    )*};
+}
+
+stopped_values! {
+    stopped_value_with_a_length: "HTTP/1.1 200 OK\r\ncontent-length: 5", "value", "";
+    stopped_value_in_chunks: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked", "5\r\nvalue\r\n0\r\n", "\r\n";
+    stopped_value_that_ends_with_its_connection: "HTTP/1.1 200 OK\r\nserver: a", "", "value";
+    stopped_value_behind_an_interim_response:
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5", "value", "";
+    stopped_redirection: "HTTP/1.1 302 Found\r\nlocation: /elsewhere\r\ncontent-length: 5", "value", "";
+}
