Refuse replies that are made of two heads

What callers saw, in a test: a backend server stops within a head and sends another reply on the same connection, and the caller gets a success whose signature starts with that of the first and ends with the second's status line, or a 503 for an action that has run.

Cause: what follows an unfinished head continues it. The second status line becomes the end of a value or a reason phrase; the first of two values of a field was read and both were passed on.

Evidence: a_reply_that_is_begun_anew_has_nothing_of_its_beginning failed before the fix with the head cut in the signature (200, `x-signature: sig-stopHTTP/1.1 200 OK` beside `x-signature: sig-i`) and with `HTTP/1.1 503 ` before the second reply (answer 503 with the body of the 200).

Fix: a reply whose id or signature occurs more than once has none, and a reason phrase with a status line in it makes the reply malformed. Such a reply belongs to no request, its connection is closed, and the request may have run. A sound server sends each of these fields once.

--- a/crates/lentillift-gateway/src/dialect.rs
+++ b/crates/lentillift-gateway/src/dialect.rs
@@ -1,6 +1,7 @@
 //! Headers through which callers, this host and backend servers exchange request metadata.
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::request;
 use http::response;
 use lentillift_core::id;
@@ -30,16 +31,29 @@
 /// Metadata in the head of a backend server's reply.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplyInfo {
-    /// Id of the attempt that the reply answers; none if it names none.
+    /// Id of the attempt that the reply answers; none if it names none, or several.
     pub id: Option<Box<str>>,
     /// Whether the request was executed.
     pub executed: Executed,
-    /// The server's signature; none if the reply is not signed.
+    /// The server's signature; none if the reply is not signed, or more than once.
     pub signature: Option<Box<str>>,
     /// The server's load; none if it reports none.
     pub load: Option<Load>,
 }
 
+/// Value of a header that a sound peer sends once; none if it is missing, repeated or not text.
+///
+/// A server that stops within a head and sends another one on the same connection makes one head of
+/// both, in which headers of the first come before those of the second.
+pub fn single_value<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?;
+    match values.next() {
+        Some(_) => None,
+        None => value.to_str().ok(),
+    }
+}
+
 /// Parses and sets the headers of a protocol between callers, this host and backend servers.
 pub trait Dialect: 'static {
     /// Parses the head of a caller's request.
--- a/crates/lentillift-gateway/src/exchange.rs
+++ b/crates/lentillift-gateway/src/exchange.rs
@@ -25,6 +25,7 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::Full;
+use hyper::ext::ReasonPhrase;
 use lentillift_fleet::quarantine::Verdict;
 use lentillift_scatter::outcome::Outcome;
 use lentillift_scatter::outcome::Send;
@@ -36,6 +37,9 @@
 /// Time that a reply may arrive after the server's own deadline.
 const REPLY_SLACK: Duration = Duration::from_millis(30);
 
+/// Start of a status line.
+const STATUS_LINE_START: &[u8] = b"HTTP/";
+
 /// Highest status that HTTP knows.
 const MAX_STATUS: u16 = 599;
 
@@ -236,10 +240,22 @@
     Unusable(&'static str),
 }
 
+/// Whether a status line is the reason phrase of another one: the server stopped before that phrase
+/// and sent another reply on the same connection.
+fn has_two_status_lines(response: &Response<Bytes>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>();
+    let reason = reason.map_or(b"".as_slice(), |reason| reason.as_bytes());
+    let mut parts = reason.windows(STATUS_LINE_START.len());
+    parts.any(|part| part == STATUS_LINE_START)
+}
+
 fn reply_class(info: &ReplyInfo, message: &Message, response: &Response<Bytes>) -> ReplyClass {
     if response.status().as_u16() > MAX_STATUS {
         return ReplyClass::Malformed("reply with an unknown status");
     }
+    if has_two_status_lines(response) {
+        return ReplyClass::Malformed("reply within the status line of another one");
+    }
     // A reply proves nothing about a request that it does not name, not even that it did not run.
     match &info.id {
         Some(id) if *id != message.id => {
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod endless;
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::StatusCode;
 use http::request;
 use http::response;
@@ -26,6 +27,7 @@
 use lentillift_gateway::dialect::Executed;
 use lentillift_gateway::dialect::ReplyInfo;
 use lentillift_gateway::dialect::RequestInfo;
+use lentillift_gateway::dialect::single_value;
 use lentillift_gateway::front;
 use lentillift_gateway::host::Host;
 use lentillift_gateway::listen;
@@ -65,8 +67,9 @@
 #[derive(Debug, Clone, Copy)]
 pub struct TestDialect;
 
-fn text(headers: &HeaderMap, name: &str) -> Option<Box<str>> {
-    Some(headers.get(name)?.to_str().ok()?.into())
+fn text(headers: &HeaderMap, name: &'static str) -> Option<Box<str>> {
+    let name = HeaderName::from_static(name);
+    Some(single_value(headers, &name)?.into())
 }
 
 impl Dialect for TestDialect {
--- a/crates/lentillift-gateway/tests/stopped_replies.rs
+++ b/crates/lentillift-gateway/tests/stopped_replies.rs
@@ -183,3 +183,22 @@
         }
     });
 }
+
+/// A server stops in a head and sends another reply on the same connection, so that two heads become
+/// one. Guards against an answer with the status or the fields of the first.
+#[test]
+fn a_reply_that_is_begun_anew_has_nothing_of_its_beginning() {
+    run(async {
+        let mut success = Framing::Length.beginnings();
+        success.retain(|start| !start.contains("\r\n\r\n"));
+        let failure = success.iter().map(|start| start.replace("200", "503"));
+        for beginning in failure.chain(success.clone()) {
+            let reply = beginning.clone() + &complete_reply("done");
+            let server = backend(vec![Reaction::WriteAndClose(reply)]).await;
+            let served = serve(single_service(&[server.address])).await;
+            let answer = send_request(served.front, &get("/once/x", "i")).await;
+            assert_ne!(status(&answer), 503, "{beginning:?}: {answer}");
+            assert!(!answer.contains("stop"), "{beginning:?}: {answer}");
+        }
+    });
+}
