Let the grace after an outage end with the outage

What callers would see: a host that was suspended through an outage of the store hears, when it resumes long after, of the outage and of a server that has left since, and sends requests to it for another 2.2 s. Not seen in a deployment.

Cause: the time of the last outage is passed on for ever, and a removed entry counted as lapsed if the outage was later than the host's last confirmation, however long ago both were. Entries that lapsed in an outage are back about two seconds after it.

Evidence: long_after_an_outage_a_removed_entry_is_not_kept failed before the fix.

Fix: the grace counts from the update, but at the latest from two bounds after the last failed call; while an outage lasts, hosts call the store again several times in that time.

--- a/crates/lentillift-scatter/src/grace.rs
+++ b/crates/lentillift-scatter/src/grace.rs
@@ -14,6 +14,10 @@
 /// last resort: entries are republished within about two seconds of the service's return.
 pub const OUTAGE_GRACE: Duration = Duration::from_millis(2200);
 
+/// Number of bounds after the last failed call at which an outage has certainly ended: hosts call a
+/// service that fails again several times in that time.
+const OUTAGE_END: u32 = 2;
+
 /// Divisor for the part of the bound that is reserved for what lies between the last check and a
 /// request's arrival: transit, a busy processor, and the clock error in an age that another host
 /// reported.
@@ -53,15 +57,15 @@
         let latest = last_known.confirmed_at.map_or(now, |confirmed_at| {
             confirmed_at + bound - bound / RESERVE_DIVISOR
         });
-        let was_unavailable = last_known
+        let outage = last_known
             .unavailable_at
-            .is_some_and(|unavailable_at| Some(unavailable_at) >= last_known.confirmed_at);
+            .filter(|unavailable_at| Some(*unavailable_at) >= last_known.confirmed_at);
         Self {
             leaving: latest.min(now + bound / LEAVING_DIVISOR),
-            lapsed: match was_unavailable {
+            lapsed: match outage {
                 // Nobody could renew an entry, so a lapse says nothing about the server yet.
-                true => now + OUTAGE_GRACE,
-                false => latest.min(now + bound / LAPSED_DIVISOR),
+                Some(unavailable_at) => now.min(unavailable_at + bound * OUTAGE_END) + OUTAGE_GRACE,
+                None => latest.min(now + bound / LAPSED_DIVISOR),
             },
         }
     }
--- a/crates/lentillift-scatter/tests/beliefs.rs
+++ b/crates/lentillift-scatter/tests/beliefs.rs
@@ -398,6 +398,19 @@
     );
 }
 
+/// A host was suspended through an outage and long after it, and hears of the outage and of a removed
+/// entry at once. Had the entry lapsed in the outage, it would be back; its server has left since.
+#[test]
+fn long_after_an_outage_a_removed_entry_is_not_kept() {
+    for late in [BOUND * 3, BOUND * 10] {
+        let last_known = LastKnown {
+            confirmed_at: Some(START - late),
+            unavailable_at: Some(START - late),
+        };
+        assert!(Grace::within(BOUND, START, last_known).lapsed <= START);
+    }
+}
+
 /// A process that has just started reads that a server is leaving, and can't know since when.
 #[test]
 fn a_server_that_was_leaving_before_anything_was_known_is_not_used() {
