--- a/crates/lentillift-gateway/src/feed.rs
+++ b/crates/lentillift-gateway/src/feed.rs
@@ -271,15 +271,15 @@
             false => sent_age,
         }
     };
-    let outage_age = frame.outage_age_ms.map(age);
-    if let Some(failure_age) = outage_age.filter(|_| !frame.origin_reachable) {
-        host.record_other_failure(failure_age);
+    // Also from a host whose path is rejected below: this concerns the service, not its state.
+    if let Some(outage_age) = frame.outage_age_ms.map(age) {
+        match frame.origin_reachable {
+            true => host.record_outage(outage_age),
+            false => host.record_other_failure(outage_age),
+        }
     }
     let sender_path: Vec<id::Host> = frame.path.iter().map(|host| host.as_str().into()).collect();
     let path = RelayPath::extend(&sender_path, &host.name).map_err(|refused| fail(&refused))?;
-    if let Some(outage_age) = outage_age.filter(|_| frame.origin_reachable) {
-        host.record_outage(outage_age);
-    }
     if let Some(age_ms) = frame.age_ms {
         let update = frame
             .update
--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -104,7 +104,7 @@
     pub swim: RefCell<Swim<StdRng>>,
     /// When the local state was last verified to be complete; none before the first update.
     pub verified_at: Cell<Option<Time>>,
-    /// Failed calls to the configuration service.
+    /// What this host knows of failed calls to the configuration service.
     pub outage: RefCell<Evidence>,
     /// Bounds on the age of the published state.
     pub freshness: follow::Options,
@@ -227,8 +227,8 @@
         Some(self.now().saturating_sub(verified_at))
     }
 
-    /// Whether a request is served from the local state now, or waits for an update. Waiting is
-    /// useless if nobody, or not this host, could read a newer one.
+    /// Whether a request is served from the local state now, or waits for an update. It doesn't wait
+    /// while the service is unavailable, or this host's own calls fail: no update would come.
     fn admit(&self) -> Admission {
         let Some(age) = self.age().filter(|_| self.is_on(Mechanism::CatchUp)) else {
             return Admission::Serve;
--- a/crates/lentillift-scatter/src/grace.rs
+++ b/crates/lentillift-scatter/src/grace.rs
@@ -16,7 +16,7 @@
 
 /// Number of bounds after the last failed call at which an outage has certainly ended: hosts call a
 /// service that fails again several times in that time.
-const OUTAGE_END: u32 = 2;
+const OUTAGE_END_FACTOR: u32 = 2;
 
 /// Divisor for the part of the bound that is reserved for what lies between the last check and a
 /// request's arrival: transit, a busy processor, and the clock error in an age that another host
@@ -64,7 +64,9 @@
             leaving: latest.min(now + bound / LEAVING_DIVISOR),
             lapsed: match outage {
                 // Nobody could renew an entry, so a lapse says nothing about the server yet.
-                Some(unavailable_at) => now.min(unavailable_at + bound * OUTAGE_END) + OUTAGE_GRACE,
+                Some(unavailable_at) => {
+                    now.min(unavailable_at + bound * OUTAGE_END_FACTOR) + OUTAGE_GRACE
+                }
                 None => latest.min(now + bound / LAPSED_DIVISOR),
             },
         }
