Let the outage in the test of lapsed servers outlast the bound

A grace that is always limited by the last confirmation is over by then; with that limit on a scratch copy the test fails, without it passes.

--- a/crates/lentillift-gateway/tests/outages.rs
+++ b/crates/lentillift-gateway/tests/outages.rs
@@ -161,8 +161,8 @@
     });
 }
 
-/// The service fails for all hosts, and entries lapse because nobody can renew them. Without the
-/// longer grace, all servers would be dropped when the service is back.
+/// The service fails for all hosts for longer than the bound, and entries lapse because nobody can
+/// renew them. Counted from the last confirmation, the grace of all servers would be over at once.
 #[test]
 fn after_an_outage_a_server_is_kept_until_its_entry_is_renewed() {
     run(async {
@@ -171,6 +171,8 @@
         cut_reader_off(&reader, &follower).await;
         wait_until(|| !follower.host.origin_reachable.get()).await;
         wait_until(|| follower.host.time_since_outage().is_some()).await;
+        let bound = follower.host.freshness.bound;
+        wait_until(|| follower.host.age().is_some_and(|age| age > bound)).await;
         follower.next_update.replace(Some(departure()));
         follower.is_cut.set(false);
         let recovered = follower.host.now();
