Look at the service's availability only where it matters

Since the last outage also depends on which hosts answer, each request and each heartbeat of the feed looked through the membership for it. A request needs it only with outdated state, and an update only for its log lines. No change in behaviour; the tests keep their assertions.

--- a/crates/lentillift-gateway/src/host.rs
+++ b/crates/lentillift-gateway/src/host.rs
@@ -170,14 +170,14 @@
     /// Without an update, only the verification time advances.
     pub fn apply_update(&self, update: Option<Update>, age: Duration) {
         let now = self.now();
-        let provenance = Provenance {
-            origin: self.origin.borrow().clone(),
-            at: now,
-            age,
-            previous_age: self.age(),
-            since_outage: self.time_since_outage(),
-        };
         if let Some(update) = update {
+            let provenance = Provenance {
+                origin: self.origin.borrow().clone(),
+                at: now,
+                age,
+                previous_age: self.age(),
+                since_outage: self.time_since_outage(),
+            };
             let source = &self.source;
             let grace = self.lapse_grace();
             let mut catalog = self.catalog.borrow_mut();
@@ -230,7 +230,8 @@
     /// Whether a request is served from the local state now, or waits for an update. It doesn't wait
     /// while the service is unavailable, or this host's own calls fail: no update would come.
     fn admit(&self) -> Admission {
-        let Some(age) = self.age().filter(|_| self.is_on(Mechanism::CatchUp)) else {
+        let outdated = self.age().filter(|age| *age > self.freshness.bound);
+        let Some(age) = outdated.filter(|_| self.is_on(Mechanism::CatchUp)) else {
             return Admission::Serve;
         };
         let failures = [self.time_since_outage(), self.time_since_own_failure()];
--- a/crates/lentillift-gateway/tests/ages.rs
+++ b/crates/lentillift-gateway/tests/ages.rs
@@ -9,6 +9,7 @@
 use common::SharedHost;
 use common::backend;
 use common::complete_reply;
+use common::follower_of;
 use common::get;
 use common::host;
 use common::introduce;
@@ -20,9 +21,6 @@
 use common::serve;
 use common::serve_from;
 use common::single_service;
-use lentillift_fleet::follow;
-use lentillift_fleet::follow::Candidate;
-use lentillift_fleet::follow::Origin;
 use lentillift_gateway::feed;
 use lentillift_gateway::listen;
 use lentillift_scatter::source::Item;
@@ -89,21 +87,6 @@
     }
 }
 
-/// A host name whose highest-ranked origin is `origin`.
-fn follower_of(origin: &str) -> String {
-    let candidate = |name: &str| Candidate {
-        host: name.into(),
-        domain: "a".into(),
-    };
-    let others = [candidate(origin)];
-    let best = |name: &String| {
-        follow::rank_origins(&candidate(name), &others, follow::FANOUT, 0).remove(0)
-    };
-    let mut names = (0..).map(|number| format!("follower-{number}"));
-    let name = names.find(|name| best(name) == Origin::Host(origin.into()));
-    name.expect("a name that ranks below the origin")
-}
-
 fn config(revision: u64) -> Item {
     Item {
         revision,
--- a/crates/lentillift-gateway/tests/common/mod.rs
+++ b/crates/lentillift-gateway/tests/common/mod.rs
@@ -17,6 +17,8 @@
 use lentillift_core::error::Step;
 use lentillift_core::id;
 use lentillift_fleet::follow;
+use lentillift_fleet::follow::Candidate;
+use lentillift_fleet::follow::Origin;
 use lentillift_fleet::packet::Body;
 use lentillift_fleet::packet::Digest;
 use lentillift_fleet::packet::Packet;
@@ -374,6 +376,21 @@
     host
 }
 
+/// A host name whose highest-ranked origin is `origin`.
+pub fn follower_of(origin: &str) -> String {
+    let candidate = |name: &str| Candidate {
+        host: name.into(),
+        domain: "a".into(),
+    };
+    let others = [candidate(origin)];
+    let best = |name: &String| {
+        follow::rank_origins(&candidate(name), &others, follow::FANOUT, 0).remove(0)
+    };
+    let mut names = (0..).map(|number| format!("follower-{number}"));
+    let name = names.find(|name| best(name) == Origin::Host(origin.into()));
+    name.expect("a name that ranks below the origin")
+}
+
 /// Adds `host` to the membership of `to`.
 pub fn introduce(host: &SharedHost, to: &SharedHost) {
     let from = host.swim.borrow().own().clone();
--- a/crates/lentillift-gateway/tests/outages.rs
+++ b/crates/lentillift-gateway/tests/outages.rs
@@ -4,14 +4,13 @@
 
 use common::MemorySource;
 use common::SharedHost;
+use common::follower_of;
 use common::host;
 use common::introduce;
 use common::listener;
 use common::run;
 use common::single_service;
 use lentillift_core::time::Time;
-use lentillift_fleet::follow;
-use lentillift_fleet::follow::Candidate;
 use lentillift_fleet::follow::Origin;
 use lentillift_gateway::feed;
 use lentillift_gateway::listen;
@@ -96,25 +95,10 @@
     }
 }
 
-/// A host name that ranks below `first`.
-fn name_below(first: &str) -> String {
-    let candidate = |name: &str| Candidate {
-        host: name.into(),
-        domain: "a".into(),
-    };
-    let others = [candidate(first)];
-    let best = |name: &String| {
-        follow::rank_origins(&candidate(name), &others, follow::FANOUT, 0).remove(0)
-    };
-    let mut names = (0..).map(|number| format!("follower-{number}"));
-    let name = names.find(|name| best(name) == Origin::Host(first.into()));
-    name.expect("a name that ranks below")
-}
-
 /// A host that reads the service, and one that follows it.
 async fn fleet() -> (Node, Node) {
     let reader = Node::start("reader").await;
-    let follower = Node::start(&name_below("reader")).await;
+    let follower = Node::start(&follower_of("reader")).await;
     introduce(&reader.host, &follower.host);
     introduce(&follower.host, &reader.host);
     (reader, follower)
@@ -194,7 +178,7 @@
         relay.host.record_own_failure();
         relay.host.record_other_failure(Duration::ZERO);
         assert!(relay.host.time_since_outage().is_some());
-        let follower = Node::start(&name_below(&relay.host.name)).await;
+        let follower = Node::start(&follower_of(&relay.host.name)).await;
         introduce(&relay.host, &follower.host);
         follower.follow();
         wait_until(|| follower.host.path.borrow().hosts().len() == 3).await;
